--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+CACHE := $(CURDIR)/.cache
+BIN := $(CACHE)/bin
+GOLANGCI_LINT_VERSION := v2.15.0
+BUF_VERSION := v1.75.0
+LINT := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+BUF := $(BIN)/buf-$(BUF_VERSION)
+
+.PHONY: build demo test format vet lint unit scenarios measure generate clean
+
+build:
+	go build -o dragonflydoor .
+
+demo:
+	go run . demo
+
+# test is everything that CI runs.
+test: format vet lint unit scenarios
+
+format:
+	@files=$$(gofmt -l main.go cmd internal scenarios); \
+	if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint: $(LINT)
+	$(LINT) run ./...
+
+unit:
+	go test -race $$(go list ./... | grep -v /scenarios)
+
+scenarios:
+	go test -race -timeout 6m ./scenarios
+
+measure:
+	go run ./cmd/measure
+
+generate: $(BUF)
+	cd tools && GOBIN=$(BIN) go install tool
+	PATH=$(BIN):$$PATH $(BUF) generate
+
+$(LINT):
+	mkdir -p $(BIN)
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(BIN)/golangci-lint $@
+
+$(BUF):
+	mkdir -p $(BIN)
+	GOBIN=$(BIN) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	mv $(BIN)/buf $@
+
+clean:
+	rm -rf $(CACHE) dragonflydoor
--- /dev/null
+++ b/internal/accepter/catalog.go
@@ -0,0 +1,75 @@
+package accepter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
+)
+
+// CatalogLength is the number of published versions kept for a profile.
+const CatalogLength = 128
+
+// Version is one published body of a profile.
+type Version struct {
+	Number      uint64
+	Digest      encoder.Digest
+	Operation   string
+	Operator    string
+	PublishedAt time.Time
+}
+
+// Catalog lists the published versions of one profile, oldest first. It is
+// immutable; the zero value has no versions.
+type Catalog struct {
+	Profile  string
+	Versions []Version
+}
+
+// Version returns the version with this number; zero stands for the newest.
+func (c Catalog) Version(number uint64) (Version, bool) {
+	for _, v := range slices.Backward(c.Versions) {
+		if number == 0 || v.Number == number {
+			return v, true
+		}
+	}
+	return Version{}, false
+}
+
+// Published returns the version that operation id published.
+func (c Catalog) Published(id string) (Version, bool) {
+	for _, v := range c.Versions {
+		if v.Operation == id {
+			return v, true
+		}
+	}
+	return Version{}, false
+}
+
+// WithVersion returns the catalog with v as its newest version, numbered one
+// above the latest. A body that is the newest already is not added again.
+func (c Catalog) WithVersion(v Version) (Catalog, Version) {
+	n, ok := c.Version(0)
+	if ok && n.Digest == v.Digest {
+		return c, n
+	}
+	v.Number = n.Number + 1
+	c.Versions = append(slices.Clone(c.Versions), v)
+	return c, v
+}
+
+// Prune returns the catalog without its oldest versions beyond CatalogLength
+// and the versions that were dropped. Version inForce is kept.
+func (c Catalog) Prune(inForce uint64) (Catalog, []Version) {
+	e := len(c.Versions) - CatalogLength
+	var k, d []Version
+	for i, v := range c.Versions {
+		if i < e && v.Number != inForce {
+			d = append(d, v)
+			continue
+		}
+		k = append(k, v)
+	}
+	c.Versions = k
+	return c, d
+}
--- /dev/null
+++ b/internal/accepter/state.go
@@ -0,0 +1,200 @@
+// Package accepter holds the accepted state of the mesh and the pure rules
+// that change it: which profile versions are in force, and by which
+// operations they came into force.
+package accepter
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+)
+
+// HistoryLength is the number of latest operations that a state remembers.
+const HistoryLength = 64
+
+// Kind names what an operation does.
+type Kind string
+
+// The kinds of operations.
+const (
+	Promote  Kind = "promote"
+	Withdraw Kind = "withdraw"
+)
+
+// Entry is one profile of the accepted state. It is in force with a version
+// and digest, or withdrawn with a fallback.
+type Entry struct {
+	Profile  string
+	Version  uint64
+	Digest   encoder.Digest
+	Fallback string
+}
+
+// Withdrawn reports whether another profile serves in place of this one.
+func (e Entry) Withdrawn() bool {
+	return e.Fallback != ""
+}
+
+// Operation is one accepted change. ID is chosen by the operator's client, so
+// that it can find out whether a write with a lost answer took effect.
+type Operation struct {
+	ID         string
+	Kind       Kind
+	Profile    string
+	Version    uint64
+	Digest     encoder.Digest
+	Fallback   string
+	Operator   string
+	Generation uint64
+	AcceptedAt time.Time
+}
+
+func (o Operation) entry() Entry {
+	if o.Kind == Withdraw {
+		return Entry{Profile: o.Profile, Fallback: o.Fallback}
+	}
+	return Entry{Profile: o.Profile, Version: o.Version, Digest: o.Digest}
+}
+
+// State is the accepted state under one generation. It is immutable; the zero
+// value is the state before the first acceptance.
+type State struct {
+	// Generation grows by one with each operation.
+	Generation uint64
+	// Entries is sorted by profile.
+	Entries []Entry
+	// Operations holds the latest operations, oldest first.
+	Operations []Operation
+}
+
+// Entry returns the entry of profile.
+func (s State) Entry(profile string) (Entry, bool) {
+	i, ok := slices.BinarySearchFunc(s.Entries, profile, compareEntry)
+	if !ok {
+		return Entry{}, false
+	}
+	return s.Entries[i], true
+}
+
+// Operation returns the remembered operation with this ID.
+func (s State) Operation(id string) (Operation, bool) {
+	for _, o := range s.Operations {
+		if o.ID == id {
+			return o, true
+		}
+	}
+	return Operation{}, false
+}
+
+// Remembers reports whether every operation after generation is remembered.
+func (s State) Remembers(generation uint64) bool {
+	if generation >= s.Generation {
+		return true
+	}
+	return len(s.Operations) > 0 && s.Operations[0].Generation <= generation+1
+}
+
+// OperationsAfter returns the remembered operations after generation.
+func (s State) OperationsAfter(generation uint64) []Operation {
+	var l []Operation
+	for _, o := range s.Operations {
+		if o.Generation > generation {
+			l = append(l, o)
+		}
+	}
+	return l
+}
+
+// Latest returns the latest operation on profile.
+func (s State) Latest(profile string) (Operation, bool) {
+	for _, o := range slices.Backward(s.Operations) {
+		if o.Profile == profile {
+			return o, true
+		}
+	}
+	return Operation{}, false
+}
+
+// WithEntries returns the state with other entries, sorted.
+func (s State) WithEntries(entries []Entry) State {
+	s.Entries = slices.Clone(entries)
+	slices.SortFunc(s.Entries, func(a, b Entry) int { return strings.Compare(a.Profile, b.Profile) })
+	return s
+}
+
+// WithOperation returns the next generation, changed by o.
+func (s State) WithOperation(o Operation) State {
+	e := o.entry()
+	i, ok := slices.BinarySearchFunc(s.Entries, e.Profile, compareEntry)
+	l := slices.Clone(s.Entries)
+	if ok {
+		l[i] = e
+	} else {
+		l = slices.Insert(l, i, e)
+	}
+	s.Entries = l
+	s.Generation++
+	o.Generation = s.Generation
+	s.Operations = Remember(s.Operations, o)
+	return s
+}
+
+// Remember appends operations to history and forgets the oldest ones.
+func Remember(history []Operation, o ...Operation) []Operation {
+	l := append(slices.Clone(history), o...)
+	if len(l) > HistoryLength {
+		l = l[len(l)-HistoryLength:]
+	}
+	return l
+}
+
+// Serving returns the entry that serves profile: its own, or that of its
+// fallback when it was withdrawn.
+func (s State) Serving(profile string) (Entry, bool) {
+	for range len(s.Entries) {
+		e, ok := s.Entry(profile)
+		if !ok || !e.Withdrawn() {
+			return e, ok
+		}
+		profile = e.Fallback
+	}
+	return Entry{}, false
+}
+
+// Change returns the state after o, or says why o is refused. It returns s
+// itself when o would change nothing.
+func (s State) Change(o Operation) (State, error) {
+	if o.Kind == Withdraw {
+		return s.withdraw(o)
+	}
+	e, ok := s.Entry(o.Profile)
+	if ok && !e.Withdrawn() && e.Digest == o.Digest && e.Version == o.Version {
+		return s, nil
+	}
+	return s.WithOperation(o), nil
+}
+
+func (s State) withdraw(o Operation) (State, error) {
+	e, ok := s.Entry(o.Profile)
+	if !ok {
+		return s, judge.Error(judge.NotFound, judge.NotRun, "profile %q is not in force", o.Profile)
+	}
+	if e.Withdrawn() && e.Fallback == o.Fallback {
+		return s, nil
+	}
+	f, ok := s.Serving(o.Fallback)
+	if !ok || o.Fallback == o.Profile {
+		return s, judge.Error(judge.Invalid, judge.NotRun, "fallback %q is not in force", o.Fallback)
+	}
+	if f.Profile == o.Profile {
+		return s, judge.Error(judge.Invalid, judge.NotRun, "fallback %q is served by %q itself", o.Fallback, o.Profile)
+	}
+	return s.WithOperation(o), nil
+}
+
+func compareEntry(e Entry, profile string) int {
+	return strings.Compare(e.Profile, profile)
+}
--- /dev/null
+++ b/internal/cli/demo.go
@@ -0,0 +1,7 @@
+package cli
+
+import "context"
+
+type demoCommand struct{}
+
+func (c *demoCommand) run(context.Context, *environment) error { return nil }
--- /dev/null
+++ b/internal/configurer/settings.go
@@ -0,0 +1,139 @@
+// Package configurer reads and checks the settings of a node.
+package configurer
+
+import (
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/parser"
+	"github.com/dragonflydoor/dragonflydoor/internal/validator"
+)
+
+// Defaults and bounds of the settings.
+const (
+	defaultRelays = 3
+	maxRelays     = 9
+	defaultFanOut = 8
+	maxFanOut     = 64
+	maxVerbosity  = 4
+	addressRule   = `an IP number with port, such as "10.0.0.7:7100"`
+)
+
+// Settings configure one node.
+type Settings struct {
+	// Node names this node in the whole mesh.
+	Node       string
+	DataCenter string
+	// Profile is the profile that the service beside this node runs under.
+	Profile string
+	// PeerAddress is where other nodes reach this one, over TCP and UDP.
+	PeerAddress string
+	// CallerAddress is where callers send requests.
+	CallerAddress string
+	// LocalAddress is where targets announce themselves, and where state and
+	// metrics are served. It should be on the loopback.
+	LocalAddress string
+	StoreAddress string
+	// Peers are peer addresses for a start without the store.
+	Peers []string
+	// RelaysPerDataCenter is the number of nodes that watch the store.
+	RelaysPerDataCenter int
+	// FanOut is the planned number of children of a node.
+	FanOut int
+	// Verbosity of the log, 0 to 4.
+	Verbosity int
+}
+
+// field reads one setting into s. The table below is the whole format.
+type field struct {
+	name string
+	read func(o *parser.Object, name string, s *Settings)
+}
+
+var fields = []field{
+	{"node", func(o *parser.Object, n string, s *Settings) { s.Node = readName(o, n) }},
+	{"data_center", func(o *parser.Object, n string, s *Settings) { s.DataCenter = readName(o, n) }},
+	{"profile", func(o *parser.Object, n string, s *Settings) { s.Profile = readName(o, n) }},
+	{"peer_address", func(o *parser.Object, n string, s *Settings) { s.PeerAddress = readAddress(o, n) }},
+	{"caller_address", func(o *parser.Object, n string, s *Settings) { s.CallerAddress = readAddress(o, n) }},
+	{"local_address", func(o *parser.Object, n string, s *Settings) { s.LocalAddress = readAddress(o, n) }},
+	{"store_address", func(o *parser.Object, n string, s *Settings) { s.StoreAddress = readAddress(o, n) }},
+	{"peers", func(o *parser.Object, n string, s *Settings) { s.Peers = o.Texts(n, addressRule, validAddress) }},
+	{"relays_per_data_center", func(o *parser.Object, n string, s *Settings) {
+		s.RelaysPerDataCenter = int(o.Number(n, defaultRelays, 1, maxRelays))
+	}},
+	{"fan_out", func(o *parser.Object, n string, s *Settings) {
+		s.FanOut = int(o.Number(n, defaultFanOut, 2, maxFanOut))
+	}},
+	{"log_verbosity", func(o *parser.Object, n string, s *Settings) { s.Verbosity = int(o.Number(n, 0, 0, maxVerbosity)) }},
+}
+
+// Parse reads settings. The error is parser.Problems with every fault.
+func Parse(data []byte) (Settings, error) {
+	o, r := parser.Document(data)
+	if err := r.Problems().Err(); err != nil {
+		return Settings{}, err
+	}
+	var s Settings
+	for _, f := range fields {
+		f.read(o, f.name, &s)
+	}
+	o.Close()
+	checkDistinct(s, r)
+	if err := r.Problems().Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Load reads the settings in a file.
+func Load(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, judge.Wrap(err, judge.Invalid, judge.NotRun, "configurer: settings")
+	}
+	return Parse(b)
+}
+
+func readName(o *parser.Object, name string) string {
+	s := o.Required(name, validator.NameRule)
+	if s != "" && !validator.Name(s) {
+		o.Reject(name, validator.NameRule)
+	}
+	return s
+}
+
+func readAddress(o *parser.Object, name string) string {
+	s := o.Required(name, addressRule)
+	if s != "" && !validAddress(s) {
+		o.Reject(name, addressRule)
+	}
+	return s
+}
+
+func validAddress(s string) bool {
+	h, p, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(h) == nil {
+		return false
+	}
+	n, err := strconv.ParseUint(p, 10, 16)
+	return err == nil && n > 0
+}
+
+// checkDistinct reports listeners that share an address.
+func checkDistinct(s Settings, r *parser.Report) {
+	l := []struct{ name, address string }{
+		{"peer_address", s.PeerAddress},
+		{"caller_address", s.CallerAddress},
+		{"local_address", s.LocalAddress},
+	}
+	for i, a := range l {
+		for _, b := range l[:i] {
+			if a.address != "" && a.address == b.address {
+				r.Add(a.name, a.address, "another address than "+b.name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/connector/transport.go
@@ -0,0 +1,58 @@
+// Package connector makes the clients and servers with which nodes talk to
+// each other: unencrypted HTTP/2 whose silent connections are found by pings.
+package connector
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/meter"
+)
+
+// Liveness bounds of a connection between nodes: a connection on which
+// nothing arrives for SilenceBound is pinged, and closed when the answer does
+// not come within PingBound.
+const (
+	SilenceBound = time.Second
+	PingBound    = time.Second
+
+	dialBound         = time.Second
+	idleBound         = 2 * time.Minute
+	headerBound       = 10 * time.Second
+	maxHeaderBytes    = 64 << 10
+	maxStreams        = 1000
+	keepAliveInterval = 15 * time.Second
+)
+
+// NewTransport returns a transport to other nodes whose bytes t counts.
+func NewTransport(t *meter.Traffic) *http.Transport {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		Protocols:          &p,
+		DialContext:        t.Dialer(&net.Dialer{Timeout: dialBound, KeepAlive: keepAliveInterval}),
+		IdleConnTimeout:    idleBound,
+		DisableCompression: true,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: SilenceBound,
+			PingTimeout:     PingBound,
+		},
+	}
+}
+
+// NewServer returns a server for h that speaks HTTP/1.1 and unencrypted
+// HTTP/2.
+func NewServer(h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &p,
+		ReadHeaderTimeout: headerBound,
+		IdleTimeout:       idleBound,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+}
--- /dev/null
+++ b/internal/encoder/digest.go
@@ -0,0 +1,58 @@
+package encoder
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
+)
+
+// Digest is the SHA-256 of a canonical body. The zero value stands for none.
+type Digest [sha256.Size]byte
+
+const shortDigestLength = 12
+
+// DigestOf returns the digest of body.
+func DigestOf(body []byte) Digest {
+	return sha256.Sum256(body)
+}
+
+// DigestProfile returns the digest of p's canonical body.
+func DigestProfile(p router.Profile) Digest {
+	return DigestOf(EncodeProfile(p))
+}
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string {
+	return hex.EncodeToString(d[:])
+}
+
+// Short returns the first characters of the digest, for people.
+func (d Digest) Short() string {
+	return d.String()[:shortDigestLength]
+}
+
+// IsZero reports whether d is the digest of nothing.
+func (d Digest) IsZero() bool {
+	return d == Digest{}
+}
+
+// ParseDigest reads a digest in hexadecimal.
+func ParseDigest(s string) (Digest, error) {
+	b, err := hex.DecodeString(s)
+	if err != nil {
+		return Digest{}, fmt.Errorf("encoder: digest: %w", err)
+	}
+	return DigestFromBytes(b)
+}
+
+// DigestFromBytes reads a digest of exactly 32 bytes.
+func DigestFromBytes(b []byte) (Digest, error) {
+	var d Digest
+	if len(b) != len(d) {
+		return Digest{}, fmt.Errorf("encoder: digest of %d bytes, expected %d", len(b), len(d))
+	}
+	copy(d[:], b)
+	return d, nil
+}
--- /dev/null
+++ b/internal/encoder/profile.go
@@ -0,0 +1,273 @@
+// Package encoder maps profiles and store records to their JSON forms, by
+// hand, and computes digests and deltas of profiles.
+package encoder
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/parser"
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
+	"github.com/dragonflydoor/dragonflydoor/internal/validator"
+)
+
+// MaxBodyBytes bounds a profile's canonical body; the store holds no more in
+// one value.
+const MaxBodyBytes = 1 << 20
+
+// Defaults and bounds of a profile's fields.
+const (
+	defaultTimeout       = 5 * time.Second
+	minTimeout           = time.Millisecond
+	maxTimeout           = time.Hour
+	defaultMaxAttempts   = 2
+	maxAttempts          = 10
+	defaultBudgetPercent = 20
+	defaultSlots         = 12
+	maxSlots             = 10_000
+	defaultConnections   = 110
+	maxConnections       = 100_000
+	defaultQueue         = 24
+	defaultBodyBytes     = 1 << 20
+	maxBodyBytes         = 1 << 40
+	defaultWeight        = 1
+)
+
+// The wire forms. Field order is the canonical order.
+type (
+	profileJSON struct {
+		Name        string        `json:"name"`
+		Description string        `json:"description,omitempty"`
+		Services    []serviceJSON `json:"services"`
+		Routes      []routeJSON   `json:"routes"`
+	}
+	serviceJSON struct {
+		Name     string     `json:"name"`
+		Timeout  string     `json:"timeout"`
+		Retry    retryJSON  `json:"retry"`
+		Limits   limitsJSON `json:"limits"`
+		Fallback string     `json:"fallback,omitempty"`
+	}
+	retryJSON struct {
+		MaxAttempts   int `json:"max_attempts"`
+		BudgetPercent int `json:"budget_percent"`
+	}
+	limitsJSON struct {
+		Slots        int   `json:"slots"`
+		Connections  int   `json:"connections"`
+		Queue        int   `json:"queue"`
+		MaxBodyBytes int64 `json:"max_body_bytes"`
+	}
+	routeJSON struct {
+		Name         string            `json:"name"`
+		Hosts        []string          `json:"hosts,omitempty"`
+		PathPrefix   string            `json:"path_prefix"`
+		Methods      []string          `json:"methods,omitempty"`
+		Headers      []headerJSON      `json:"headers,omitempty"`
+		Destinations []destinationJSON `json:"destinations"`
+		Timeout      string            `json:"timeout,omitempty"`
+		Idempotent   bool              `json:"idempotent,omitempty"`
+	}
+	headerJSON struct {
+		Name  string `json:"name"`
+		Value string `json:"value"`
+	}
+	destinationJSON struct {
+		Service string `json:"service"`
+		Weight  int    `json:"weight"`
+	}
+)
+
+// DecodeProfile reads and checks a profile. The error is parser.Problems
+// with every fault of the document.
+func DecodeProfile(data []byte) (router.Profile, error) {
+	if len(data) > MaxBodyBytes {
+		r := &parser.Report{}
+		r.Add("document", fmt.Sprintf("%d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxBodyBytes))
+		return router.Profile{}, r.Problems()
+	}
+	o, r := parser.Document(data)
+	if err := r.Problems().Err(); err != nil {
+		return router.Profile{}, err
+	}
+	p := readProfile(o)
+	validator.Check(p, r)
+	if err := r.Problems().Err(); err != nil {
+		return router.Profile{}, err
+	}
+	slices.SortFunc(p.Services, func(a, b router.Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(p.Routes, func(a, b router.Route) int { return strings.Compare(a.Name, b.Name) })
+	return p, nil
+}
+
+func readProfile(o *parser.Object) router.Profile {
+	p := router.Profile{
+		Name:        o.Required("name", validator.NameRule),
+		Description: o.Text("description"),
+	}
+	for _, s := range o.Objects("services") {
+		p.Services = append(p.Services, readService(s))
+	}
+	for _, t := range o.Objects("routes") {
+		p.Routes = append(p.Routes, readRoute(t))
+	}
+	o.Close()
+	return p
+}
+
+func readService(o *parser.Object) router.Service {
+	s := router.Service{
+		Name:     o.Required("name", validator.NameRule),
+		Timeout:  o.Duration("timeout", defaultTimeout, minTimeout, maxTimeout),
+		Retry:    readRetry(o.Object("retry")),
+		Limits:   readLimits(o.Object("limits")),
+		Fallback: o.Text("fallback"),
+	}
+	o.Close()
+	return s
+}
+
+func readRetry(o *parser.Object) router.RetryPolicy {
+	p := router.RetryPolicy{
+		MaxAttempts:   int(o.Number("max_attempts", defaultMaxAttempts, 1, maxAttempts)),
+		BudgetPercent: int(o.Number("budget_percent", defaultBudgetPercent, 0, 100)),
+	}
+	o.Close()
+	return p
+}
+
+func readLimits(o *parser.Object) router.Limits {
+	l := router.Limits{
+		Slots:        int(o.Number("slots", defaultSlots, 1, maxSlots)),
+		Connections:  int(o.Number("connections", defaultConnections, 1, maxConnections)),
+		Queue:        int(o.Number("queue", defaultQueue, 0, maxConnections)),
+		MaxBodyBytes: o.Number("max_body_bytes", defaultBodyBytes, 0, maxBodyBytes),
+	}
+	o.Close()
+	return l
+}
+
+func readRoute(o *parser.Object) router.Route {
+	t := router.Route{
+		Name:       o.Required("name", validator.NameRule),
+		Hosts:      o.Texts("hosts", "a host name", nil),
+		PathPrefix: o.Required("path_prefix", `a path that starts with "/"`),
+		Methods:    o.Texts("methods", "an HTTP method", nil),
+		Timeout:    o.Duration("timeout", 0, minTimeout, maxTimeout),
+		Idempotent: o.Flag("idempotent"),
+	}
+	for _, h := range o.Objects("headers") {
+		t.Headers = append(t.Headers, readHeader(h))
+	}
+	for _, d := range o.Objects("destinations") {
+		t.Destinations = append(t.Destinations, readDestination(d))
+	}
+	o.Close()
+	return t
+}
+
+func readHeader(o *parser.Object) router.HeaderMatch {
+	h := router.HeaderMatch{
+		Name:  o.Required("name", "an HTTP header name"),
+		Value: o.Text("value"),
+	}
+	o.Close()
+	return h
+}
+
+func readDestination(o *parser.Object) router.Destination {
+	d := router.Destination{
+		Service: o.Required("service", "a service of this profile"),
+		Weight:  int(o.Number("weight", defaultWeight, 0, validator.MaxWeight)),
+	}
+	o.Close()
+	return d
+}
+
+// EncodeProfile returns the canonical body of p: one line of JSON with every
+// default written out, services and routes sorted by name.
+func EncodeProfile(p router.Profile) []byte {
+	return mustMarshal(writeProfile(p))
+}
+
+// FormatProfile returns the body of p indented for people.
+func FormatProfile(p router.Profile) []byte {
+	var b bytes.Buffer
+	_ = json.Indent(&b, EncodeProfile(p), "", "  ")
+	b.WriteByte('\n')
+	return b.Bytes()
+}
+
+func writeProfile(p router.Profile) profileJSON {
+	j := profileJSON{
+		Name:        p.Name,
+		Description: p.Description,
+		Services:    make([]serviceJSON, 0, len(p.Services)),
+		Routes:      make([]routeJSON, 0, len(p.Routes)),
+	}
+	for _, s := range p.Services {
+		j.Services = append(j.Services, writeService(s))
+	}
+	for _, t := range p.Routes {
+		j.Routes = append(j.Routes, writeRoute(t))
+	}
+	return j
+}
+
+func writeService(s router.Service) serviceJSON {
+	return serviceJSON{
+		Name:    s.Name,
+		Timeout: s.Timeout.String(),
+		Retry: retryJSON{
+			MaxAttempts:   s.Retry.MaxAttempts,
+			BudgetPercent: s.Retry.BudgetPercent,
+		},
+		Limits: limitsJSON{
+			Slots:        s.Limits.Slots,
+			Connections:  s.Limits.Connections,
+			Queue:        s.Limits.Queue,
+			MaxBodyBytes: s.Limits.MaxBodyBytes,
+		},
+		Fallback: s.Fallback,
+	}
+}
+
+func writeRoute(t router.Route) routeJSON {
+	j := routeJSON{
+		Name:       t.Name,
+		Hosts:      t.Hosts,
+		PathPrefix: t.PathPrefix,
+		Methods:    t.Methods,
+		Timeout:    formatOptional(t.Timeout),
+		Idempotent: t.Idempotent,
+	}
+	for _, h := range t.Headers {
+		j.Headers = append(j.Headers, headerJSON{Name: h.Name, Value: h.Value})
+	}
+	for _, d := range t.Destinations {
+		j.Destinations = append(j.Destinations, destinationJSON{Service: d.Service, Weight: d.Weight})
+	}
+	return j
+}
+
+func formatOptional(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
+// mustMarshal encodes a wire form of this package, which can not fail.
+func mustMarshal(v any) []byte {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		panic(fmt.Sprintf("encoder: %v", err))
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n"))
+}
--- /dev/null
+++ b/internal/forwarder/answer.go
@@ -0,0 +1,134 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+const (
+	// holdBytes is the size up to which an answer is held until complete.
+	holdBytes   = 256 << 10
+	streamBytes = 32 << 10
+)
+
+var buffers = sync.Pool{New: func() any { return new([streamBytes]byte) }}
+
+// answer is a response, held whole or with the rest still to be streamed.
+type answer struct {
+	status int
+	header http.Header
+	// length is the length of the whole body, -1 when it is not known.
+	length int64
+	held   []byte
+	// rest is nil when the answer is held whole.
+	rest io.ReadCloser
+}
+
+// hold reads the body of r until it is complete or too large to be held.
+func hold(r *http.Response) (*answer, error) {
+	a := &answer{status: r.StatusCode, header: r.Header, length: r.ContentLength}
+	if r.ContentLength > holdBytes {
+		a.rest = r.Body
+		return a, nil
+	}
+	var b bytes.Buffer
+	_, err := io.CopyN(&b, r.Body, holdBytes)
+	a.held = b.Bytes()
+	if errors.Is(err, io.EOF) {
+		_ = r.Body.Close()
+		if r.Request == nil || r.Request.Method != http.MethodHead {
+			a.length = int64(len(a.held))
+		}
+		return a, nil
+	}
+	if err != nil {
+		_ = r.Body.Close()
+		return nil, err
+	}
+	a.rest = r.Body
+	return a, nil
+}
+
+// closing ends cancel's context once the answer has been passed on.
+func (a *answer) closing(cancel context.CancelFunc) *answer {
+	if a.rest == nil {
+		cancel()
+		return a
+	}
+	a.rest = &cancelBody{ReadCloser: a.rest, cancel: cancel}
+	return a
+}
+
+type cancelBody struct {
+	io.ReadCloser
+
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
+
+// write passes the answer on. An error means that it was cut short, which the
+// caller must be able to see.
+func (a *answer) write(w http.ResponseWriter) error {
+	copyHeader(w.Header(), a.header)
+	if bodyAllowed(a.status) {
+		setLength(w.Header(), a.length)
+	}
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.held); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		return err
+	}
+	if a.rest == nil {
+		return nil
+	}
+	defer func() { _ = a.rest.Close() }()
+	return stream(w, a.rest)
+}
+
+// stream copies in small parts and flushes each, in constant memory.
+func stream(w http.ResponseWriter, r io.Reader) error {
+	b, _ := buffers.Get().(*[streamBytes]byte)
+	defer buffers.Put(b)
+	c := http.NewResponseController(w)
+	for {
+		n, err := r.Read(b[:])
+		if n > 0 {
+			if _, err := w.Write(b[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		_ = c.Flush()
+	}
+}
+
+func copyHeader(to, from http.Header) {
+	for n, v := range from {
+		to[n] = v
+	}
+}
+
+func setLength(h http.Header, n int64) {
+	if n >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/gossiper/member.go
@@ -0,0 +1,138 @@
+// Package gossiper keeps the soft state of who is in the mesh. Each node is
+// the only author of its own record; others may merely doubt it.
+//
+// The protocol follows SWIM (Das, Gupta, Motivala: "SWIM: Scalable
+// Weakly-consistent Infection-style Process Group Membership Protocol", 2002):
+// random probes, indirect probes, suspicion that the author refutes with a
+// higher incarnation, and updates that ride on the probes.
+package gossiper
+
+import (
+	"hash/fnv"
+	"slices"
+)
+
+// Condition is what the mesh believes of a member.
+type Condition uint8
+
+// The conditions, later ones going before earlier ones of one incarnation.
+const (
+	Alive Condition = iota
+	Suspect
+	Dead
+)
+
+var conditionNames = [...]string{"alive", "suspect", "dead"}
+
+// String returns the name used in dumps.
+func (c Condition) String() string {
+	return conditionNames[min(c, Dead)]
+}
+
+// Status is what the author says of a member.
+type Status uint8
+
+// The statuses.
+const (
+	Serving Status = iota
+	Draining
+	Left
+)
+
+var statusNames = [...]string{"serving", "draining", "left"}
+
+// String returns the name used in dumps.
+func (s Status) String() string {
+	return statusNames[min(s, Left)]
+}
+
+// Target is a target beside a member.
+type Target struct {
+	Service string
+	Address string
+	// Draining targets get no new work.
+	Draining    bool
+	Slots       int
+	Connections int
+}
+
+// Member is the record of one node. It is immutable.
+type Member struct {
+	Node        string
+	PeerAddress string
+	DataCenter  string
+	// Incarnation grows with every change that the author makes.
+	Incarnation uint64
+	Condition   Condition
+	Status      Status
+	Relay       bool
+	Targets     []Target
+}
+
+// WithCondition returns the record with another condition.
+func (m Member) WithCondition(c Condition) Member {
+	m.Condition = c
+	return m
+}
+
+// WithStatus returns the record with another status.
+func (m Member) WithStatus(s Status) Member {
+	m.Status = s
+	return m
+}
+
+// WithRelay returns the record with the relay flag set to r.
+func (m Member) WithRelay(r bool) Member {
+	m.Relay = r
+	return m
+}
+
+// WithIncarnation returns the record under another incarnation.
+func (m Member) WithIncarnation(n uint64) Member {
+	m.Incarnation = n
+	return m
+}
+
+// WithTargets returns the record with other targets.
+func (m Member) WithTargets(l []Target) Member {
+	m.Targets = slices.Clone(l)
+	return m
+}
+
+// Usable reports whether the member can be asked for anything.
+func (m Member) Usable() bool {
+	return m.Condition != Dead && m.Status != Left
+}
+
+// supersedes reports whether m goes before o, both of one node. The order is
+// total up to equal records, so that merging commutes.
+func (m Member) supersedes(o Member) bool {
+	if m.Incarnation != o.Incarnation {
+		return m.Incarnation > o.Incarnation
+	}
+	return m.Condition > o.Condition
+}
+
+// Tombstone changes the condition of a member that the receiver knows.
+type Tombstone struct {
+	NodeHash    uint64
+	Incarnation uint64
+	Condition   Condition
+}
+
+// HashNode returns the hash that places a node in buckets and trees.
+func HashNode(node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(node))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of x (the finalizer of MurmurHash3, Appleby, 2011).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/internal/gossiper/packet.go
@@ -0,0 +1,169 @@
+package gossiper
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/messenger"
+)
+
+// Kind says what a packet is for.
+type Kind uint8
+
+// The kinds of packets.
+const (
+	// Ping asks for an Ack with the same number.
+	Ping Kind = iota + 1
+	// Ack answers a Ping.
+	Ack
+	// PingRequest asks the receiver to ping the subject.
+	PingRequest
+	// Rumor carries updates only.
+	Rumor
+)
+
+// Packet is one membership datagram.
+type Packet struct {
+	Kind    Kind
+	Number  uint64
+	From    string
+	Subject string
+	// Generation and StateDigest tell what configuration the sender holds.
+	Generation  uint64
+	StateDigest []byte
+	// TableDigest identifies the sender's whole table.
+	TableDigest uint64
+	Members     []Member
+	Tombstones  []Tombstone
+}
+
+// EncodePacket returns the wire form of p.
+func EncodePacket(p Packet) []byte {
+	w := &messenger.Packet{
+		Kind:        uint32(p.Kind),
+		Number:      p.Number,
+		From:        p.From,
+		Subject:     p.Subject,
+		Generation:  p.Generation,
+		StateDigest: p.StateDigest,
+		TableDigest: p.TableDigest,
+		Members:     WriteMembers(p.Members),
+	}
+	for _, t := range p.Tombstones {
+		w.Tombstones = append(w.Tombstones, &messenger.Tombstone{
+			NodeHash:    t.NodeHash,
+			Incarnation: t.Incarnation,
+			Condition:   uint32(t.Condition),
+		})
+	}
+	b, err := proto.Marshal(w)
+	if err != nil {
+		panic("gossiper: " + err.Error())
+	}
+	return b
+}
+
+// DecodePacket reads the wire form of a packet.
+func DecodePacket(data []byte) (Packet, error) {
+	var w messenger.Packet
+	if err := proto.Unmarshal(data, &w); err != nil {
+		return Packet{}, fmt.Errorf("gossiper: packet: %w", err)
+	}
+	if w.GetKind() < uint32(Ping) || w.GetKind() > uint32(Rumor) {
+		return Packet{}, fmt.Errorf("gossiper: packet of kind %d", w.GetKind())
+	}
+	p := Packet{
+		Kind:        Kind(w.GetKind()),
+		Number:      w.GetNumber(),
+		From:        w.GetFrom(),
+		Subject:     w.GetSubject(),
+		Generation:  w.GetGeneration(),
+		StateDigest: w.GetStateDigest(),
+		TableDigest: w.GetTableDigest(),
+		Members:     ReadMembers(w.GetMembers()),
+	}
+	for _, t := range w.GetTombstones() {
+		p.Tombstones = append(p.Tombstones, Tombstone{
+			NodeHash:    t.GetNodeHash(),
+			Incarnation: t.GetIncarnation(),
+			Condition:   readCondition(t.GetCondition()),
+		})
+	}
+	return p, nil
+}
+
+// WriteMembers maps records to their wire form.
+func WriteMembers(list []Member) []*messenger.Member {
+	l := make([]*messenger.Member, 0, len(list))
+	for _, m := range list {
+		w := &messenger.Member{
+			Node:        m.Node,
+			PeerAddress: m.PeerAddress,
+			DataCenter:  m.DataCenter,
+			Incarnation: m.Incarnation,
+			Condition:   uint32(m.Condition),
+			Status:      uint32(m.Status),
+			Relay:       m.Relay,
+		}
+		for _, t := range m.Targets {
+			w.Targets = append(w.Targets, writeTarget(t))
+		}
+		l = append(l, w)
+	}
+	return l
+}
+
+// ReadMembers maps records from their wire form. Records without a node or an
+// address are left out.
+func ReadMembers(list []*messenger.Member) []Member {
+	l := make([]Member, 0, len(list))
+	for _, w := range list {
+		if w.GetNode() == "" || w.GetPeerAddress() == "" {
+			continue
+		}
+		m := Member{
+			Node:        w.GetNode(),
+			PeerAddress: w.GetPeerAddress(),
+			DataCenter:  w.GetDataCenter(),
+			Incarnation: w.GetIncarnation(),
+			Condition:   readCondition(w.GetCondition()),
+			Status:      Status(min(w.GetStatus(), uint32(Left))),
+			Relay:       w.GetRelay(),
+		}
+		for _, t := range w.GetTargets() {
+			m.Targets = append(m.Targets, readTarget(t))
+		}
+		l = append(l, m)
+	}
+	return l
+}
+
+const drainingState = 1
+
+func writeTarget(t Target) *messenger.Target {
+	w := &messenger.Target{
+		Service:     t.Service,
+		Address:     t.Address,
+		Slots:       uint32(t.Slots),
+		Connections: uint32(t.Connections),
+	}
+	if t.Draining {
+		w.State = drainingState
+	}
+	return w
+}
+
+func readTarget(w *messenger.Target) Target {
+	return Target{
+		Service:     w.GetService(),
+		Address:     w.GetAddress(),
+		Draining:    w.GetState() == drainingState,
+		Slots:       int(w.GetSlots()),
+		Connections: int(w.GetConnections()),
+	}
+}
+
+func readCondition(n uint32) Condition {
+	return Condition(min(n, uint32(Dead)))
+}
--- /dev/null
+++ b/internal/gossiper/view.go
@@ -0,0 +1,99 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Endpoint is a target with the member that is its gate.
+type Endpoint struct {
+	Target
+
+	Node        string
+	PeerAddress string
+	DataCenter  string
+	Incarnation uint64
+}
+
+// View is an immutable picture of the mesh as one node knows it.
+type View struct {
+	// Members is sorted by node.
+	Members []Member
+	// Version changes with every change of the table.
+	Version uint64
+
+	services    map[string][]Endpoint
+	dataCenters map[string][]Member
+}
+
+func newView(t *table) *View {
+	v := &View{
+		Members:     t.members(),
+		Version:     t.version,
+		services:    make(map[string][]Endpoint),
+		dataCenters: make(map[string][]Member),
+	}
+	for _, m := range v.Members {
+		if m.Usable() {
+			v.add(m)
+		}
+	}
+	for _, l := range v.dataCenters {
+		slices.SortFunc(l, func(a, b Member) int { return cmp.Compare(HashNode(a.Node), HashNode(b.Node)) })
+	}
+	return v
+}
+
+func (v *View) add(m Member) {
+	v.dataCenters[m.DataCenter] = append(v.dataCenters[m.DataCenter], m)
+	if m.Status != Serving {
+		return
+	}
+	for _, t := range m.Targets {
+		if t.Draining {
+			continue
+		}
+		v.services[t.Service] = append(v.services[t.Service], Endpoint{
+			Target:      t,
+			Node:        m.Node,
+			PeerAddress: m.PeerAddress,
+			DataCenter:  m.DataCenter,
+			Incarnation: m.Incarnation,
+		})
+	}
+}
+
+// Service returns the targets of a service that take new work.
+func (v *View) Service(name string) []Endpoint {
+	if v == nil {
+		return nil
+	}
+	return v.services[name]
+}
+
+// DataCenter returns the usable members of a data centre in hash order.
+func (v *View) DataCenter(name string) []Member {
+	if v == nil {
+		return nil
+	}
+	return v.dataCenters[name]
+}
+
+// DataCenters returns the names of the data centres with usable members.
+func (v *View) DataCenters() []string {
+	l := make([]string, 0, len(v.dataCenters))
+	for n := range v.dataCenters {
+		l = append(l, n)
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Usable returns the number of usable members.
+func (v *View) Usable() int {
+	n := 0
+	for _, l := range v.dataCenters {
+		n += len(l)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/holder/snapshot.go
@@ -0,0 +1,105 @@
+// Package holder keeps a node's configuration: one immutable snapshot that is
+// built whole, checked, and swapped by a single pointer.
+package holder
+
+import (
+	"fmt"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
+	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
+)
+
+// Profile is a verified profile with its digest and compiled routes.
+type Profile struct {
+	router.Profile
+
+	Digest encoder.Digest
+	Table  router.Table
+}
+
+// NewProfile compiles p.
+func NewProfile(p router.Profile, d encoder.Digest) *Profile {
+	return &Profile{Profile: p, Digest: d, Table: router.NewTable(p)}
+}
+
+// Snapshot is one generation of the whole configuration. It is immutable; the
+// zero value holds nothing.
+type Snapshot struct {
+	State accepter.State
+	// StateDigest identifies the generation and its entries.
+	StateDigest encoder.Digest
+
+	profiles map[string]*Profile
+}
+
+// NewSnapshot builds the snapshot of s. Bodies that neither base nor offered
+// holds are an error, so that a snapshot is never partial.
+func NewSnapshot(s accepter.State, base *Snapshot, offered []*Profile) (*Snapshot, error) {
+	n := &Snapshot{State: s, StateDigest: s.Digest(), profiles: make(map[string]*Profile)}
+	for _, e := range s.Entries {
+		if err := n.add(e, base, offered); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (s *Snapshot) add(e accepter.Entry, base *Snapshot, offered []*Profile) error {
+	if e.Withdrawn() {
+		if _, ok := s.State.Serving(e.Profile); !ok {
+			return fmt.Errorf("holder: profile %s falls back to nothing", e.Profile)
+		}
+		return nil
+	}
+	p := find(e, base, offered)
+	if p == nil {
+		return fmt.Errorf("holder: body %s of profile %s is missing", e.Digest.Short(), e.Profile)
+	}
+	if p.Name != e.Profile {
+		return fmt.Errorf("holder: body %s is of profile %s, not %s", e.Digest.Short(), p.Name, e.Profile)
+	}
+	s.profiles[e.Profile] = p
+	return nil
+}
+
+func find(e accepter.Entry, base *Snapshot, offered []*Profile) *Profile {
+	for _, p := range offered {
+		if p.Digest == e.Digest {
+			return p
+		}
+	}
+	if p := base.Profile(e.Profile); p != nil && p.Digest == e.Digest {
+		return p
+	}
+	return nil
+}
+
+// Generation returns the generation, 0 before the first.
+func (s *Snapshot) Generation() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.State.Generation
+}
+
+// Profile returns the named profile as it is in force itself, or nil.
+func (s *Snapshot) Profile(name string) *Profile {
+	if s == nil {
+		return nil
+	}
+	return s.profiles[name]
+}
+
+// Serving returns the profile that serves name, following the fallbacks of
+// withdrawn profiles, or nil.
+func (s *Snapshot) Serving(name string) *Profile {
+	if s == nil {
+		return nil
+	}
+	e, ok := s.State.Serving(name)
+	if !ok {
+		return nil
+	}
+	return s.profiles[e.Profile]
+}
--- /dev/null
+++ b/internal/meter/conn.go
@@ -0,0 +1,87 @@
+// Package meter counts what a process does: bytes at its sockets and the
+// instruments that it serves for scraping.
+package meter
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts bytes in both directions. Its zero value is ready to use.
+type Traffic struct {
+	received atomic.Uint64
+	sent     atomic.Uint64
+}
+
+// Received returns the number of bytes read from sockets.
+func (t *Traffic) Received() uint64 { return t.received.Load() }
+
+// Sent returns the number of bytes written to sockets.
+func (t *Traffic) Sent() uint64 { return t.sent.Load() }
+
+// AddReceived counts n bytes read.
+func (t *Traffic) AddReceived(n int) { t.received.Add(uint64(max(n, 0))) }
+
+// AddSent counts n bytes written.
+func (t *Traffic) AddSent(n int) { t.sent.Add(uint64(max(n, 0))) }
+
+// Listener returns l with its connections counted.
+func (t *Traffic) Listener(l net.Listener) net.Listener {
+	return listener{Listener: l, traffic: t}
+}
+
+// Dialer returns d with its connections counted.
+func (t *Traffic) Dialer(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c, traffic: t}, nil
+	}
+}
+
+// Counted is a connection that knows how many bytes were written to it.
+type Counted interface {
+	Written() uint64
+}
+
+type listener struct {
+	net.Listener
+
+	traffic *Traffic
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, traffic: l.traffic}, nil
+}
+
+type conn struct {
+	net.Conn
+
+	traffic *Traffic
+	written atomic.Uint64
+}
+
+// Written implements Counted. It counts what was handed to the connection,
+// whether or not the write succeeded.
+func (c *conn) Written() uint64 { return c.written.Load() }
+
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.AddReceived(n)
+	return n, err
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.written.Add(uint64(len(b)))
+	n, err := c.Conn.Write(b)
+	c.traffic.AddSent(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/meter/instruments.go
@@ -0,0 +1,62 @@
+package meter
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+const scope = "dragonflydoor"
+
+// Instruments registers observed values and serves them for scraping.
+type Instruments struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+}
+
+// NewInstruments returns an empty set of instruments.
+func NewInstruments() (*Instruments, error) {
+	r := prometheus.NewRegistry()
+	e, err := otelprom.New(otelprom.WithRegisterer(r), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, fmt.Errorf("meter: exporter: %w", err)
+	}
+	p := sdkmetric.NewMeterProvider(sdkmetric.WithReader(e))
+	return &Instruments{registry: r, meter: p.Meter(scope)}, nil
+}
+
+// Counter registers a value that only grows.
+func (i *Instruments) Counter(name, unit, description string, value func() uint64) error {
+	_, err := i.meter.Int64ObservableCounter(name,
+		metric.WithUnit(unit),
+		metric.WithDescription(description),
+		metric.WithInt64Callback(observe(func() int64 { return int64(value()) })))
+	return err
+}
+
+// Gauge registers a value that goes up and down.
+func (i *Instruments) Gauge(name, unit, description string, value func() int64) error {
+	_, err := i.meter.Int64ObservableGauge(name,
+		metric.WithUnit(unit),
+		metric.WithDescription(description),
+		metric.WithInt64Callback(observe(value)))
+	return err
+}
+
+// Handler serves the values in the Prometheus text format.
+func (i *Instruments) Handler() http.Handler {
+	return promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{})
+}
+
+func observe(value func() int64) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(value())
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/parser/object.go
@@ -0,0 +1,207 @@
+package parser
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Object reads the fields of one JSON object. Reading a field marks it as
+// known; Close reports the others.
+type Object struct {
+	path   string
+	fields map[string]any
+	known  []string
+	report *Report
+}
+
+func newObject(path string, fields map[string]any, r *Report) *Object {
+	return &Object{path: path, fields: fields, report: r}
+}
+
+// Path returns the path of field name within the document.
+func (o *Object) Path(name string) string {
+	return join(o.path, name)
+}
+
+// Reject reports the value of field name.
+func (o *Object) Reject(name, expected string) {
+	o.report.Add(o.Path(name), o.fields[name], expected)
+}
+
+// Has reports whether field name is present.
+func (o *Object) Has(name string) bool {
+	_, ok := o.fields[name]
+	return ok
+}
+
+func (o *Object) take(name string) any {
+	o.known = append(o.known, name)
+	return o.fields[name]
+}
+
+// Text reads a string, empty when the field is missing.
+func (o *Object) Text(name string) string {
+	v := o.take(name)
+	if v == nil {
+		return ""
+	}
+	s, ok := v.(string)
+	if !ok {
+		o.Reject(name, "a string")
+	}
+	return s
+}
+
+// Required reads a string that must not be empty.
+func (o *Object) Required(name, expected string) string {
+	s := o.Text(name)
+	_, ok := o.fields[name].(string)
+	if s == "" && (ok || !o.Has(name)) {
+		o.Reject(name, expected)
+	}
+	return s
+}
+
+// Flag reads a boolean, false when the field is missing.
+func (o *Object) Flag(name string) bool {
+	v := o.take(name)
+	if v == nil {
+		return false
+	}
+	b, ok := v.(bool)
+	if !ok {
+		o.Reject(name, "true or false")
+	}
+	return b
+}
+
+// Number reads a whole number from low to high, or returns fallback.
+func (o *Object) Number(name string, fallback, low, high int64) int64 {
+	v := o.take(name)
+	if v == nil {
+		return fallback
+	}
+	e := fmt.Sprintf("a whole number from %d to %d", low, high)
+	n, ok := v.(json.Number)
+	if !ok {
+		o.Reject(name, e)
+		return fallback
+	}
+	i, err := n.Int64()
+	if err != nil || i < low || i > high {
+		o.Reject(name, e)
+		return fallback
+	}
+	return i
+}
+
+// Duration reads a duration such as "250ms" from low to high, or returns
+// fallback.
+func (o *Object) Duration(name string, fallback, low, high time.Duration) time.Duration {
+	v := o.take(name)
+	if v == nil {
+		return fallback
+	}
+	e := fmt.Sprintf("a duration from %s to %s, such as %q", low, high, "250ms")
+	s, ok := v.(string)
+	if !ok {
+		o.Reject(name, e)
+		return fallback
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d < low || d > high {
+		o.Reject(name, e)
+		return fallback
+	}
+	return d
+}
+
+// Texts reads a list of strings, each checked by valid when it is not nil.
+func (o *Object) Texts(name, expected string, valid func(string) bool) []string {
+	l := o.list(name)
+	r := make([]string, 0, len(l))
+	for i, v := range l {
+		s, ok := v.(string)
+		if !ok || (valid != nil && !valid(s)) {
+			o.report.Add(index(o.Path(name), i), v, expected)
+			continue
+		}
+		r = append(r, s)
+	}
+	if len(r) == 0 {
+		return nil
+	}
+	return r
+}
+
+// Objects reads a list of objects.
+func (o *Object) Objects(name string) []*Object {
+	l := o.list(name)
+	r := make([]*Object, 0, len(l))
+	for i, v := range l {
+		p := index(o.Path(name), i)
+		m, ok := v.(map[string]any)
+		if !ok {
+			o.report.Add(p, v, "an object")
+			continue
+		}
+		r = append(r, newObject(p, m, o.report))
+	}
+	return r
+}
+
+// Object reads a nested object; it is empty when the field is missing.
+func (o *Object) Object(name string) *Object {
+	v := o.take(name)
+	m, ok := v.(map[string]any)
+	if v != nil && !ok {
+		o.Reject(name, "an object")
+	}
+	return newObject(o.Path(name), m, o.report)
+}
+
+func (o *Object) list(name string) []any {
+	v := o.take(name)
+	if v == nil {
+		return nil
+	}
+	l, ok := v.([]any)
+	if !ok {
+		o.Reject(name, "a list")
+	}
+	return l
+}
+
+// Close reports every field that was never read.
+func (o *Object) Close() {
+	for n, v := range o.fields {
+		if !contains(o.known, n) {
+			o.report.Add(o.Path(n), orNull(v), "one of the fields "+fieldList(o.known))
+		}
+	}
+}
+
+func orNull(v any) any {
+	if v == nil {
+		return json.RawMessage("null")
+	}
+	return v
+}
+
+func fieldList(names []string) string {
+	l := append([]string(nil), names...)
+	sort.Strings(l)
+	return strings.Join(l, ", ")
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,256 @@
+// Package relayer lets a few nodes of each data centre watch the store on
+// behalf of the others. A relay holds a leased slot in the store; nothing that
+// must hold depends on the lease, which only bounds the number of watches.
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
+	"github.com/dragonflydoor/dragonflydoor/internal/holder"
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/limiter"
+	"github.com/dragonflydoor/dragonflydoor/internal/storer"
+)
+
+const (
+	logPrefix = "relayer: "
+
+	leaseTTL       = 6 * time.Second
+	renewPeriod    = leaseTTL / 3
+	watchWait      = 2 * time.Second
+	listPeriod     = 10 * time.Second
+	electionPeriod = 250 * time.Millisecond
+	rankDelay      = time.Second
+	minBackoff     = 200 * time.Millisecond
+	maxBackoff     = 5 * time.Second
+
+	// callsPerSecond and callBurst are a node's budget of store calls.
+	callsPerSecond = 10
+	callBurst      = 20
+)
+
+// Relayer competes for a slot and serves as a relay while it holds one.
+type Relayer struct {
+	store    storer.Store
+	holder   *holder.Holder
+	gossiper *gossiper.Gossiper
+	slots    int
+	budget   *limiter.Bucket
+
+	lease     storer.LeaseID
+	connected atomic.Bool
+}
+
+// New returns a relayer that competes for one of slots in its data centre.
+func New(s storer.Store, h *holder.Holder, g *gossiper.Gossiper, slots int) *Relayer {
+	return &Relayer{
+		store:    s,
+		holder:   h,
+		gossiper: g,
+		slots:    slots,
+		budget:   limiter.NewBucket(callsPerSecond, callBurst),
+	}
+}
+
+// Start runs the relayer in group until ctx is done.
+func (r *Relayer) Start(ctx context.Context, group *grouper.Group) {
+	group.Loop(ctx, r.compete)
+}
+
+// Connected reports whether the last watch of the store was answered.
+func (r *Relayer) Connected() bool {
+	return r.connected.Load()
+}
+
+// compete waits for a vacancy, takes it, and serves until the slot is lost.
+func (r *Relayer) compete(ctx context.Context) {
+	b := minBackoff
+	for r.awaitTurn(ctx) {
+		ok, err := r.acquire(ctx)
+		if err != nil {
+			klog.V(1).Infof(logPrefix+"No slot was taken: %v", err)
+		}
+		if ok {
+			b = minBackoff
+			r.serve(ctx)
+			continue
+		}
+		pause(ctx, b/2+rand.N(b))
+		b = min(b*2, maxBackoff)
+	}
+}
+
+// awaitTurn returns true once this node is to try for a slot: relays are
+// missing, and the nodes before it in hash order have had their time.
+func (r *Relayer) awaitTurn(ctx context.Context) bool {
+	var since time.Time
+	for pause(ctx, electionPeriod/2+rand.N(electionPeriod)) {
+		k, missing := r.rank()
+		if missing <= 0 || r.gossiper.Self().Status != gossiper.Serving {
+			since = time.Time{}
+			continue
+		}
+		if since.IsZero() {
+			since = time.Now()
+		}
+		if time.Since(since) >= time.Duration(max(k-missing+1, 0))*rankDelay {
+			return true
+		}
+	}
+	return false
+}
+
+// rank returns this node's place among the candidates of its data centre, and
+// the number of relays that are missing there.
+func (r *Relayer) rank() (place, missing int) {
+	s := r.gossiper.Self()
+	missing = r.slots
+	for _, m := range r.gossiper.View().DataCenter(s.DataCenter) {
+		switch {
+		case m.Relay && m.Condition == gossiper.Alive && m.Node != s.Node:
+			missing--
+		case m.Condition == gossiper.Alive && gossiper.HashNode(m.Node) < gossiper.HashNode(s.Node):
+			place++
+		}
+	}
+	return place, missing
+}
+
+// acquire takes a free slot under a new lease.
+func (r *Relayer) acquire(ctx context.Context) (bool, error) {
+	s := r.gossiper.Self()
+	l, err := r.list(ctx, s.DataCenter)
+	if err != nil {
+		return false, err
+	}
+	k, ok := r.freeSlot(s.DataCenter, l)
+	if !ok {
+		return false, nil
+	}
+	if err := r.spend(); err != nil {
+		return false, err
+	}
+	id, err := r.store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return false, err
+	}
+	if _, err := r.store.Put(ctx, k, []byte(s.PeerAddress), 0, id); err != nil {
+		_ = r.store.Revoke(ctx, id)
+		return false, err
+	}
+	r.lease = id
+	return true, nil
+}
+
+func (r *Relayer) freeSlot(dataCenter string, taken []storer.Item) (string, bool) {
+	m := make(map[string]bool)
+	for _, i := range taken {
+		m[i.Key] = true
+	}
+	for i := range r.slots {
+		k := fmt.Sprintf("%s%s/%d", storer.RelayPrefix, dataCenter, i)
+		if !m[k] {
+			return k, true
+		}
+	}
+	return "", false
+}
+
+// list reads the relays of one data centre, or of all when it is empty, and
+// introduces this node to them.
+func (r *Relayer) list(ctx context.Context, dataCenter string) ([]storer.Item, error) {
+	if err := r.spend(); err != nil {
+		return nil, err
+	}
+	p := storer.RelayPrefix
+	if dataCenter != "" {
+		p += dataCenter + "/"
+	}
+	l, err := r.store.List(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	self := r.gossiper.Self().PeerAddress
+	for _, i := range l {
+		if a := string(i.Value.Data); a != self {
+			r.gossiper.Introduce(a)
+		}
+	}
+	return l, nil
+}
+
+// spend takes one call from the budget.
+func (r *Relayer) spend() error {
+	if r.budget.Take(time.Now()) {
+		return nil
+	}
+	return judge.Error(judge.Overloaded, judge.NotRun, "relayer: the budget of store calls is spent")
+}
+
+// serve acts as a relay until the slot is lost or ctx is done.
+func (r *Relayer) serve(ctx context.Context) {
+	klog.Info(logPrefix + "This node is a relay now.")
+	r.setRelay(true)
+	ctx, cancel := context.WithCancel(ctx)
+	var g grouper.Group
+	g.Loop(ctx, r.watch)
+	g.Loop(ctx, r.introduce)
+	r.renew(ctx)
+	cancel()
+	g.Wait()
+	r.connected.Store(false)
+	r.setRelay(false)
+	klog.Info(logPrefix + "This node is no relay any more.")
+}
+
+func (r *Relayer) setRelay(on bool) {
+	r.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithRelay(on) })
+}
+
+// renew keeps the lease alive and returns once it has lapsed. While the store
+// does not answer, the node goes on: its children need a root all the same.
+func (r *Relayer) renew(ctx context.Context) {
+	for pause(ctx, renewPeriod) {
+		err := r.store.KeepAlive(ctx, r.lease)
+		if judge.Is(err, judge.NotFound) {
+			klog.Warning(logPrefix + "The lease has lapsed.")
+			return
+		}
+	}
+	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	_ = r.store.Revoke(c, r.lease)
+}
+
+// introduce finds the relays of other data centres, now and then, so that
+// parts of the mesh that lost each other meet again.
+func (r *Relayer) introduce(ctx context.Context) {
+	for {
+		if _, err := r.list(ctx, ""); err != nil {
+			klog.V(1).Infof(logPrefix+"Listing relays failed: %v", err)
+		}
+		if !pause(ctx, listPeriod/2+rand.N(listPeriod)) {
+			return
+		}
+	}
+}
+
+// pause waits for d and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/relayer/watch.go
@@ -0,0 +1,133 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
+	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
+	"github.com/dragonflydoor/dragonflydoor/internal/holder"
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/storer"
+)
+
+// watch waits for changes of the head record and applies them.
+func (r *Relayer) watch(ctx context.Context) {
+	var n uint64
+	known := false
+	b := minBackoff
+	for ctx.Err() == nil {
+		v, changed, err := r.next(ctx, n, known)
+		if err == nil && changed {
+			err = r.take(ctx, v)
+		}
+		r.connected.Store(err == nil)
+		if err != nil {
+			klog.V(1).Infof(logPrefix+"Watching the store failed: %v", err)
+			pause(ctx, b/2)
+			b = min(b*2, maxBackoff)
+			known = false
+			continue
+		}
+		b = minBackoff
+		if changed {
+			n = v.Revision
+			known = true
+		}
+	}
+}
+
+// next reads the head record, or waits until its revision is not n.
+func (r *Relayer) next(ctx context.Context, n uint64, known bool) (storer.Value, bool, error) {
+	if known {
+		return r.store.Watch(ctx, storer.HeadKey, n, watchWait)
+	}
+	v, err := r.store.Get(ctx, storer.HeadKey)
+	if judge.Is(err, judge.NotFound) {
+		return storer.Value{}, true, nil
+	}
+	return v, err == nil, err
+}
+
+// take applies the stored state, or repairs it when the store has gone back.
+func (r *Relayer) take(ctx context.Context, v storer.Value) error {
+	s := accepter.State{}
+	if v.Revision != 0 {
+		d, err := accepter.DecodeState(v.Data)
+		if err != nil {
+			return err
+		}
+		s = d
+	}
+	c := r.holder.Current()
+	if c != nil && !s.Follows(c.State) {
+		return r.repair(ctx, c, s, v.Revision)
+	}
+	l, err := r.bodies(ctx, s, c)
+	if err != nil {
+		return err
+	}
+	o, err := r.holder.Offer(s, l)
+	if o == holder.Stale || o == holder.Forked {
+		klog.Warningf(logPrefix+"Refused generation %d: %s.", s.Generation, o)
+	}
+	return err
+}
+
+// bodies reads the bodies of s that c does not hold.
+func (r *Relayer) bodies(ctx context.Context, s accepter.State, c *holder.Snapshot) ([]*holder.Profile, error) {
+	var l []*holder.Profile
+	for _, e := range s.Entries {
+		p := c.Profile(e.Profile)
+		if e.Withdrawn() || (p != nil && p.Digest == e.Digest) {
+			continue
+		}
+		v, err := r.store.Get(ctx, storer.BodyKey(e.Profile, e.Digest.String()))
+		if err != nil {
+			return nil, err
+		}
+		f, err := encoder.Verify(v.Data, e.Digest)
+		if err != nil {
+			return nil, err
+		}
+		l = append(l, holder.NewProfile(f, e.Digest))
+	}
+	return l, nil
+}
+
+// repair writes back what was accepted before the store went back to older
+// data. Operations that the store accepted since are kept on top.
+func (r *Relayer) repair(ctx context.Context, c *holder.Snapshot, s accepter.State, revision uint64) error {
+	m := accepter.Merge(c.State, s)
+	klog.Warningf(logPrefix+"The store went back from generation %d to %d, writing generation %d.",
+		c.Generation(), s.Generation, m.Generation)
+	if err := r.spend(); err != nil {
+		return err
+	}
+	for _, e := range m.Entries {
+		if err := r.restoreBody(ctx, c, e); err != nil {
+			return err
+		}
+	}
+	_, err := r.store.Put(ctx, storer.HeadKey, accepter.EncodeState(m), revision, 0)
+	if judge.Is(err, judge.Conflict) {
+		// Another relay or an operator was first; the next read shows what it wrote.
+		pause(ctx, time.Millisecond)
+	}
+	return err
+}
+
+func (r *Relayer) restoreBody(ctx context.Context, c *holder.Snapshot, e accepter.Entry) error {
+	p := c.Profile(e.Profile)
+	if e.Withdrawn() || p == nil || p.Digest != e.Digest {
+		return nil
+	}
+	k := storer.BodyKey(e.Profile, e.Digest.String())
+	_, err := r.store.Put(ctx, k, encoder.EncodeProfile(p.Profile), 0, 0)
+	if judge.Is(err, judge.Conflict) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/runner/local.go
@@ -0,0 +1,145 @@
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+	"github.com/dragonflydoor/dragonflydoor/internal/parser"
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
+	"github.com/dragonflydoor/dragonflydoor/internal/validator"
+)
+
+const (
+	maxAnnouncementBytes = 4 << 10
+	maxSlots             = 10_000
+	defaultSlots         = 12
+	defaultConnections   = 110
+	defaultQueue         = 24
+	defaultBodyBytes     = 1 << 20
+)
+
+// announcement is what a target says of itself.
+type announcement struct {
+	target  gossiper.Target
+	profile string
+}
+
+// localHandler serves the targets beside the node and its operators.
+func (n *Node) localHandler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("PUT /v1/targets", n.announce)
+	m.HandleFunc("POST /v1/targets/{address}/drain", n.drainTarget)
+	m.HandleFunc("DELETE /v1/targets/{address}", n.removeTarget)
+	m.HandleFunc("GET /v1/dump", n.dump)
+	m.Handle("GET /metrics", n.metrics())
+	return m
+}
+
+// announce adds or renews a target; the target repeats it every second or two.
+func (n *Node) announce(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	if err != nil {
+		fail(w, http.StatusRequestEntityTooLarge, err)
+		return
+	}
+	a, err := parseAnnouncement(b)
+	if err != nil {
+		fail(w, http.StatusBadRequest, err)
+		return
+	}
+	if n.entry.Draining() {
+		fail(w, http.StatusServiceUnavailable, fmt.Errorf("node %s is draining", n.settings.Node))
+		return
+	}
+	if a.profile != "" {
+		n.entry.UseProfile(a.profile)
+	}
+	n.registrar.Announce(a.target, n.limits(a.target), time.Now())
+}
+
+// limits are the service's, lowered to what the target says it can take.
+func (n *Node) limits(t gossiper.Target) router.Limits {
+	l := router.Limits{Slots: defaultSlots, Connections: defaultConnections, Queue: defaultQueue, MaxBodyBytes: defaultBodyBytes}
+	if p := n.holder.Current().Serving(n.entry.Profile()); p != nil {
+		if s, ok := p.Service(t.Service); ok {
+			l = s.Limits
+		}
+	}
+	if t.Slots > 0 {
+		l.Slots = min(l.Slots, t.Slots)
+	}
+	if t.Connections > 0 {
+		l.Connections = min(l.Connections, t.Connections)
+	}
+	return l
+}
+
+func parseAnnouncement(data []byte) (announcement, error) {
+	o, r := parser.Document(data)
+	if err := r.Problems().Err(); err != nil {
+		return announcement{}, err
+	}
+	a := announcement{
+		target: gossiper.Target{
+			Service:     o.Required("service", validator.NameRule),
+			Address:     o.Required("address", "an IP number with port"),
+			Slots:       int(o.Number("slots", 0, 1, maxSlots)),
+			Connections: int(o.Number("connections", 0, 1, maxSlots)),
+		},
+		profile: o.Text("profile"),
+	}
+	if s := a.target.Service; s != "" && !validator.Name(s) {
+		o.Reject("service", validator.NameRule)
+	}
+	if a.target.Address != "" && !isAddress(a.target.Address) {
+		o.Reject("address", "an IP number with port")
+	}
+	if a.profile != "" && !validator.Name(a.profile) {
+		o.Reject("profile", validator.NameRule)
+	}
+	o.Close()
+	return a, r.Problems().Err()
+}
+
+func isAddress(s string) bool {
+	h, _, err := net.SplitHostPort(s)
+	return err == nil && net.ParseIP(h) != nil
+}
+
+type drainJSON struct {
+	InFlight int `json:"in_flight"`
+	Waiting  int `json:"waiting"`
+}
+
+// drainTarget stops new work for a target. The target asks again until
+// nothing is in flight.
+func (n *Node) drainTarget(w http.ResponseWriter, r *http.Request) {
+	t, ok := n.registrar.Drain(r.PathValue("address"))
+	if !ok {
+		fail(w, http.StatusNotFound, fmt.Errorf("no target at %s", r.PathValue("address")))
+		return
+	}
+	reply(w, drainJSON{InFlight: t.Gate.Running(), Waiting: t.Gate.Waiting()})
+}
+
+func (n *Node) removeTarget(w http.ResponseWriter, r *http.Request) {
+	if !n.registrar.Remove(r.PathValue("address")) {
+		fail(w, http.StatusNotFound, fmt.Errorf("no target at %s", r.PathValue("address")))
+	}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+}
+
+func fail(w http.ResponseWriter, status int, err error) {
+	http.Error(w, err.Error(), status)
+}
--- /dev/null
+++ b/internal/syncer/tally.go
@@ -0,0 +1,134 @@
+package syncer
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxLaggards bounds the nodes that a tally names.
+const maxLaggards = 16
+
+// Tally counts the nodes of a subtree that hold one generation.
+type Tally struct {
+	Generation uint64
+	Nodes      int
+}
+
+// Laggard is a node that holds an older generation than its root.
+type Laggard struct {
+	Node       string
+	Generation uint64
+}
+
+// Report is what a node knows of its subtree.
+type Report struct {
+	Tallies  []Tally
+	Laggards []Laggard
+}
+
+// Equal reports whether two reports say the same.
+func (r Report) Equal(o Report) bool {
+	return slices.Equal(r.Tallies, o.Tallies) && slices.Equal(r.Laggards, o.Laggards)
+}
+
+// child is a node that polls, or polled until a moment ago.
+type child struct {
+	generation uint64
+	report     Report
+	poll       uint64
+	// until is when the child is forgotten, zero while it polls.
+	until time.Time
+}
+
+// Tallier sums up the reports of a node's children. Its zero value has none.
+type Tallier struct {
+	mu       sync.Mutex
+	children map[string]child
+	polls    uint64
+}
+
+// Admit notes the report of a child that begins to poll, and returns the
+// number of the poll. It refuses a new child when there are limit others.
+func (t *Tallier) Admit(node string, generation uint64, r Report, now time.Time, limit int) (uint64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	if _, ok := t.children[node]; !ok && len(t.children) >= limit {
+		return 0, false
+	}
+	if t.children == nil {
+		t.children = make(map[string]child)
+	}
+	t.polls++
+	t.children[node] = child{generation: generation, report: r, poll: t.polls}
+	return t.polls, true
+}
+
+// Release notes that a poll has ended. The child is forgotten at until unless
+// it has begun another one.
+func (t *Tallier) Release(node string, poll uint64, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := t.children[node]
+	if ok && c.poll == poll {
+		c.until = until
+		t.children[node] = c
+	}
+}
+
+// Children returns the number of children that reported lately.
+func (t *Tallier) Children(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	return len(t.children)
+}
+
+// Sum returns the report of the subtree of a node that holds generation.
+func (t *Tallier) Sum(generation uint64, now time.Time) Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	n := map[uint64]int{generation: 1}
+	var l []Laggard
+	for name, c := range t.children {
+		for _, y := range c.report.Tallies {
+			n[y.Generation] += y.Nodes
+		}
+		if c.generation < generation {
+			l = append(l, Laggard{Node: name, Generation: c.generation})
+		}
+		for _, g := range c.report.Laggards {
+			if g.Generation < generation {
+				l = append(l, g)
+			}
+		}
+	}
+	return Report{Tallies: sortTallies(n), Laggards: sortLaggards(l)}
+}
+
+func (t *Tallier) expire(now time.Time) {
+	for n, c := range t.children {
+		if !c.until.IsZero() && now.After(c.until) {
+			delete(t.children, n)
+		}
+	}
+}
+
+func sortTallies(nodes map[uint64]int) []Tally {
+	l := make([]Tally, 0, len(nodes))
+	for g, n := range nodes {
+		l = append(l, Tally{Generation: g, Nodes: n})
+	}
+	slices.SortFunc(l, func(a, b Tally) int { return cmp.Compare(a.Generation, b.Generation) })
+	return l
+}
+
+func sortLaggards(l []Laggard) []Laggard {
+	slices.SortFunc(l, func(a, b Laggard) int { return strings.Compare(a.Node, b.Node) })
+	l = slices.Compact(l)
+	return l[:min(len(l), maxLaggards)]
+}
--- /dev/null
+++ b/scenarios/commands_test.go
@@ -0,0 +1,255 @@
+package scenarios
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"store":    storeCommand,
+	"node":     nodeCommand,
+	"target":   targetCommand,
+	"signal":   signalCommand,
+	"exited":   exitedCommand,
+	"faults":   faultsCommand,
+	"converge": convergeCommand,
+	"members":  membersCommand,
+	"history":  historyCommand,
+	"call":     callCommand,
+	"settle":   settleCommand,
+	"runs":     runsCommand,
+}
+
+func check(ts *testscript.TestScript, err error) {
+	if err != nil {
+		ts.Fatalf("%v", err)
+	}
+}
+
+// storeCommand starts the store stand-in and waits until it answers.
+func storeCommand(ts *testscript.TestScript, _ bool, _ []string) {
+	m := meshOf(ts)
+	check(ts, m.start("store", "standin", "store", "--address", m.address("store")))
+	check(ts, eventually(stepBound, func() error {
+		_, err := get("http://" + m.address("store") + "/counts")
+		return err
+	}))
+}
+
+// nodeCommand starts a node: node NAME DATA_CENTER [PEER...].
+func nodeCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	n := args[0]
+	var peers []string
+	for _, p := range args[2:] {
+		peers = append(peers, strconv.Quote(m.address(p+".peer")))
+	}
+	s := fmt.Sprintf(`{"node": %q, "data_center": %q, "profile": "everyday", "log_verbosity": 1,
+		"peer_address": %q, "caller_address": %q, "local_address": %q, "store_address": %q,
+		"relays_per_data_center": %s, "fan_out": 2, "peers": [%s]}`,
+		n, args[1], m.address(n+".peer"), m.address(n+".caller"), m.address(n+".local"),
+		m.address("store"), ts.Getenv("RELAYS"), strings.Join(peers, ", "))
+	f := filepath.Join(m.dir, n+".json")
+	check(ts, os.WriteFile(f, []byte(s), 0o600))
+	check(ts, m.start(n, "dragonflydoor", "node", "--settings", f))
+	check(ts, eventually(stepBound, func() error {
+		_, err := m.dump(n)
+		return err
+	}))
+}
+
+// targetCommand starts a target: target NAME NODE SERVICE, and waits until
+// every node knows it.
+func targetCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	a := m.address(args[0])
+	check(ts, m.start(args[0], "standin", "target", "--address", a, "--service", args[2], "--node", m.address(args[1]+".local")))
+	check(ts, eventually(stepBound, func() error { return m.allKnow(args[2] + "@" + a) }))
+}
+
+func (m *mesh) allKnow(target string) error {
+	for _, p := range m.nodes() {
+		d, err := m.dump(p.name)
+		if err != nil {
+			return err
+		}
+		if !strings.Contains(fmt.Sprint(d.Members), target) {
+			return fmt.Errorf("%s does not know %s", p.name, target)
+		}
+	}
+	return nil
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL,
+	"TERM": syscall.SIGTERM,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
+
+// signalCommand sends a signal to processes: signal KILL NAME...
+func signalCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	s, ok := signals[args[0]]
+	if !ok {
+		ts.Fatalf("unknown signal %s", args[0])
+	}
+	for _, n := range args[1:] {
+		p := m.processes[n]
+		check(ts, p.command.Process.Signal(s))
+		p.frozen = s == syscall.SIGSTOP
+		if s == syscall.SIGKILL {
+			<-p.done
+		}
+	}
+}
+
+// exitedCommand waits until a process has exited with a code: exited NAME CODE.
+func exitedCommand(ts *testscript.TestScript, _ bool, args []string) {
+	p := meshOf(ts).processes[args[0]]
+	select {
+	case <-p.done:
+	case <-time.After(stepBound):
+		ts.Fatalf("%s still runs", args[0])
+	}
+	if c := p.command.ProcessState.ExitCode(); strconv.Itoa(c) != args[1] {
+		ts.Fatalf("%s exited with %d, expected %s", args[0], c, args[1])
+	}
+}
+
+// faultsCommand changes how the store fails: faults JSON, faults lapse, or
+// faults rewind WRITES.
+func faultsCommand(ts *testscript.TestScript, _ bool, args []string) {
+	u := "http://" + meshOf(ts).address("store") + "/faults"
+	switch args[0] {
+	case "lapse":
+		check(ts, send(http.MethodPost, u+"/lapse", ""))
+	case "rewind":
+		check(ts, send(http.MethodPost, u+"/rewind?writes="+args[1], ""))
+	default:
+		check(ts, send(http.MethodPut, u, args[0]))
+	}
+}
+
+func send(method, url, body string) error {
+	q, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r, err := client.Do(q)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(r.Body)
+		return fmt.Errorf("%s: %s", r.Status, b)
+	}
+	return nil
+}
+
+// convergeCommand waits until every running node holds at least a generation,
+// all of them the same: converge GENERATION BOUND.
+func convergeCommand(ts *testscript.TestScript, neg bool, args []string) {
+	m := meshOf(ts)
+	g, err := strconv.ParseUint(args[0], 10, 64)
+	check(ts, err)
+	d, err := time.ParseDuration(args[1])
+	check(ts, err)
+	s := time.Now()
+	err = eventually(d, func() error {
+		l, n, same := m.generations()
+		if !same || n < g {
+			return fmt.Errorf("not converged on generation %d within %s:\n%s", g, d, l)
+		}
+		return nil
+	})
+	if neg {
+		if err == nil {
+			ts.Fatalf("converged on generation %d", g)
+		}
+		return
+	}
+	check(ts, err)
+	ts.Logf("converged after %s", time.Since(s).Round(time.Millisecond))
+}
+
+// membersCommand waits until a node sees others in a condition:
+// members NODE CONDITION BOUND NAME...
+func membersCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	d, err := time.ParseDuration(args[2])
+	check(ts, err)
+	check(ts, eventually(d, func() error {
+		u, err := m.dump(args[0])
+		if err != nil {
+			return err
+		}
+		c := make(map[string]string)
+		for _, y := range u.Members {
+			c[y.Node] = y.Condition
+		}
+		for _, n := range args[3:] {
+			if c[n] != args[1] {
+				return fmt.Errorf("%s sees %s as %q, expected %s", args[0], n, c[n], args[1])
+			}
+		}
+		return nil
+	}))
+}
+
+// historyCommand checks the recorded history of applied generations.
+func historyCommand(ts *testscript.TestScript, _ bool, _ []string) {
+	check(ts, meshOf(ts).checkHistory())
+}
+
+// callCommand makes a request and prints status, verdict and body:
+// call NODE METHOD PATH [BODY [RUN]].
+func callCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	body := ""
+	if len(args) > 3 {
+		body = args[3]
+	}
+	q, err := http.NewRequest(args[1], "http://"+m.address(args[0]+".caller")+args[2], strings.NewReader(body))
+	check(ts, err)
+	if len(args) > 4 {
+		q.Header.Set("X-Run", args[4])
+	}
+	r, err := client.Do(q)
+	if err != nil {
+		_, _ = fmt.Fprintf(ts.Stdout(), "broken: %v\n", err)
+		return
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		_, _ = fmt.Fprintf(ts.Stdout(), "broken after %d bytes: %v\n", len(b), err)
+		return
+	}
+	_, _ = fmt.Fprintf(ts.Stdout(), "status %d verdict %q length %d\n%.400s\n", r.StatusCode, r.Header.Get("Dragonflydoor-Verdict"), len(b), b)
+}
+
+// settleCommand lets time pass: settle DURATION. It is for faults that must
+// last, never for waiting until something has happened.
+func settleCommand(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	check(ts, err)
+	time.Sleep(d)
+}
+
+// runsCommand prints what a target has run: runs NAME.
+func runsCommand(ts *testscript.TestScript, _ bool, args []string) {
+	b, err := get("http://" + meshOf(ts).address(args[0]) + "/standin/runs")
+	check(ts, err)
+	_, _ = fmt.Fprintf(ts.Stdout(), "%s", b)
+}
--- /dev/null
+++ b/scenarios/mesh_test.go
@@ -0,0 +1,253 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	stepBound  = 20 * time.Second
+	pollPeriod = 25 * time.Millisecond
+)
+
+var client = &http.Client{Timeout: 5 * time.Second}
+
+// process is one running program of a scenario.
+type process struct {
+	name    string
+	command *exec.Cmd
+	done    chan struct{}
+	frozen  bool
+	log     string
+	lives   int
+}
+
+// mesh is what one script has started.
+type mesh struct {
+	dir       string
+	processes map[string]*process
+	ports     map[string]int
+	names     []string
+}
+
+type meshKey struct{}
+
+func setup(e *testscript.Env) error {
+	m := &mesh{dir: e.WorkDir, processes: make(map[string]*process), ports: make(map[string]int)}
+	e.Values[meshKey{}] = m
+	e.Defer(m.killAll)
+	e.Setenv("DRAGONFLYDOOR_STORE", m.address("store"))
+	e.Setenv("USER", "operator")
+	e.Setenv("RELAYS", "1")
+	return nil
+}
+
+func meshOf(ts *testscript.TestScript) *mesh {
+	m, _ := ts.Value(meshKey{}).(*mesh)
+	return m
+}
+
+// address returns the loopback address of a name, always the same in a script.
+func (m *mesh) address(name string) string {
+	p, ok := m.ports[name]
+	if !ok {
+		p = freePort()
+		m.ports[name] = p
+	}
+	return fmt.Sprintf("127.0.0.1:%d", p)
+}
+
+// freePort finds a port below the range that the system gives to clients.
+func freePort() int {
+	for range 1000 {
+		p := 10000 + int(time.Now().UnixNano()/997%20000)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return p
+	}
+	panic("no free port")
+}
+
+func (m *mesh) start(name string, args ...string) error {
+	old := m.processes[name]
+	lives := 0
+	if old != nil {
+		lives = old.lives + 1
+	}
+	p := &process{name: name, done: make(chan struct{}), lives: lives}
+	p.log = filepath.Join(m.dir, fmt.Sprintf("%s.%d.log", name, lives))
+	f, err := os.Create(p.log)
+	if err != nil {
+		return err
+	}
+	p.command = exec.Command(args[0], args[1:]...)
+	p.command.Stdout = f
+	p.command.Stderr = f
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	go func() {
+		_ = p.command.Wait()
+		_ = f.Close()
+		close(p.done)
+	}()
+	if old == nil {
+		m.names = append(m.names, name)
+	}
+	m.processes[name] = p
+	return nil
+}
+
+func (m *mesh) killAll() {
+	for _, p := range m.processes {
+		_ = p.command.Process.Kill()
+		<-p.done
+	}
+}
+
+func (p *process) alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// nodes returns the nodes that run and are not frozen.
+func (m *mesh) nodes() []*process {
+	var l []*process
+	for _, n := range m.names {
+		p := m.processes[n]
+		if strings.HasPrefix(n, "n") && p.alive() && !p.frozen {
+			l = append(l, p)
+		}
+	}
+	return l
+}
+
+type dump struct {
+	Node       string `json:"node"`
+	Generation uint64 `json:"generation"`
+	Digest     string `json:"digest"`
+	Relay      bool   `json:"relay"`
+	Parent     string `json:"parent"`
+	Refused    struct {
+		Stale  uint64 `json:"stale"`
+		Forked uint64 `json:"forked"`
+	} `json:"refused"`
+	Members []struct {
+		Node      string   `json:"node"`
+		Condition string   `json:"condition"`
+		Status    string   `json:"status"`
+		Targets   []string `json:"targets"`
+	} `json:"members"`
+}
+
+func (m *mesh) dump(name string) (dump, error) {
+	var d dump
+	b, err := get("http://" + m.address(name+".local") + "/v1/dump")
+	if err != nil {
+		return d, err
+	}
+	return d, json.Unmarshal(b, &d)
+}
+
+func (m *mesh) generations() (string, uint64, bool) {
+	var l []string
+	var g uint64
+	same := true
+	for i, p := range m.nodes() {
+		d, err := m.dump(p.name)
+		if err != nil {
+			l = append(l, fmt.Sprintf("%s: %v", p.name, err))
+			same = false
+			continue
+		}
+		l = append(l, fmt.Sprintf("%s: %d %.12s", p.name, d.Generation, d.Digest))
+		same = same && (i == 0 || d.Generation == g)
+		g = d.Generation
+	}
+	return strings.Join(l, "\n"), g, same
+}
+
+var appliedLine = regexp.MustCompile(`Applied generation (\d+), digest ([0-9a-f]+)`)
+
+// checkHistory reads what every life of every node applied: generations only
+// grow, and one generation has one content in the whole mesh.
+func (m *mesh) checkHistory() error {
+	digests := make(map[uint64]string)
+	for _, n := range m.names {
+		for i := range m.processes[n].lives + 1 {
+			if err := m.checkLife(n, i, digests); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (m *mesh) checkLife(name string, life int, digests map[uint64]string) error {
+	b, err := os.ReadFile(filepath.Join(m.dir, fmt.Sprintf("%s.%d.log", name, life)))
+	if err != nil {
+		return err
+	}
+	var last uint64
+	for _, s := range appliedLine.FindAllStringSubmatch(string(b), -1) {
+		g, _ := strconv.ParseUint(s[1], 10, 64)
+		if g <= last {
+			return fmt.Errorf("%s went from generation %d to %d", name, last, g)
+		}
+		last = g
+		if d, ok := digests[g]; ok && d != s[2] {
+			return fmt.Errorf("generation %d has contents %s and %s", g, d, s[2])
+		}
+		digests[g] = s[2]
+	}
+	if strings.Contains(string(b), "panic:") || strings.Contains(string(b), "DATA RACE") {
+		return fmt.Errorf("%s crashed, see its log:\n%s", name, b)
+	}
+	return nil
+}
+
+func get(url string) ([]byte, error) {
+	r, err := client.Get(url)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err == nil && r.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", r.Status, b)
+	}
+	return b, err
+}
+
+// eventually repeats f until it returns nil, for at most d.
+func eventually(d time.Duration, f func() error) error {
+	end := time.Now().Add(d)
+	for {
+		err := f()
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(pollPeriod)
+	}
+}
