--- /dev/null
+++ b/internal/encoder/profile_test.go
@@ -0,0 +1,191 @@
+package encoder
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
+)
+
+const valid = `{
+  "name": "everyday",
+  "services": [{"name": "fihris", "fallback": "sijill"}, {"name": "sijill"}],
+  "routes": [{"name": "catalog", "path_prefix": "/catalog", "destinations": [{"service": "fihris"}]}]
+}`
+
+func TestDecodeProfileProblems(t *testing.T) {
+	tests := []struct {
+		name string
+		old  string
+		new  string
+		want []string
+	}{
+		{
+			name: "empty", old: valid, new: `{}`,
+			want: []string{
+				`name: missing: expected a name of 1 to 63 lower-case letters, digits and hyphens that starts with a letter`,
+				`routes: "0 entries": expected 1 to 8192 entries`,
+				`services: "0 entries": expected 1 to 4096 entries`,
+			},
+		},
+		{
+			name: "dangling route", old: `{"service": "fihris"}`, new: `{"service": "sawt"}`,
+			want: []string{`routes[0].destinations[0].service: "sawt": expected a service of this profile`},
+		},
+		{
+			name: "dangling fallback", old: `"fallback": "sijill"`, new: `"fallback": "sawt"`,
+			want: []string{`services[0].fallback: "sawt": expected a service of this profile`},
+		},
+		{
+			name: "fallback circle", old: `{"name": "sijill"}`, new: `{"name": "sijill", "fallback": "fihris"}`,
+			want: []string{
+				`services[0].fallback: "sijill": expected a fallback that does not lead back to the service`,
+				`services[1].fallback: "fihris": expected a fallback that does not lead back to the service`,
+			},
+		},
+		{
+			name: "service twice", old: `{"name": "sijill"}`, new: `{"name": "sijill"}, {"name": "sijill"}`,
+			want: []string{`services[2].name: "sijill": expected a name that no other service has`},
+		},
+		{
+			name: "route without weight", old: `{"service": "fihris"}`, new: `{"service": "fihris", "weight": 0}`,
+			want: []string{`routes[0].destinations: "only weights of 0": expected at least one weight above 0`},
+		},
+		{
+			name: "prefix", old: `"/catalog"`, new: `"/a/../b"`,
+			want: []string{`routes[0].path_prefix: "/a/../b": expected a path that starts with "/", without empty, "." or ".." segments`},
+		},
+		{
+			name: "many at once", old: `{"name": "sijill"}`,
+			new: `{"name": "sijill", "timeout": "5", "retry": {"max_attempts": 0}, "limits": {"slots": 1.5, "queues": 3}}`,
+			want: []string{
+				`services[1].limits.queues: 3: expected one of the fields connections, max_body_bytes, queue, slots`,
+				`services[1].limits.slots: 1.5: expected a whole number from 1 to 10000`,
+				`services[1].retry.max_attempts: 0: expected a whole number from 1 to 10`,
+				`services[1].timeout: "5": expected a duration from 1ms to 1h0m0s, such as "250ms"`,
+			},
+		},
+		{
+			name: "host and method", old: `"path_prefix"`, new: `"hosts": ["A:80"], "methods": ["get"], "path_prefix"`,
+			want: []string{
+				`routes[0].hosts[0]: "A:80": expected a lower-case host name without port`,
+				`routes[0].methods[0]: "get": expected an HTTP method in upper case`,
+			},
+		},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := DecodeProfile([]byte(strings.Replace(valid, c.old, c.new, 1)))
+			if err == nil {
+				t.Fatal("accepted")
+			}
+			if w := strings.Join(c.want, "\n"); err.Error() != w {
+				t.Errorf("got\n%v\nwant\n%s", err, w)
+			}
+		})
+	}
+}
+
+func names(t *rapid.T, label string) []string {
+	return rapid.SliceOfNDistinct(rapid.StringMatching(`[a-d]{1,2}`), 1, 6, rapid.ID[string]).Draw(t, label)
+}
+
+// profiles draws valid profiles of one name.
+func profiles(t *rapid.T, label string) router.Profile {
+	p := router.Profile{Name: "drawn", Description: rapid.String().Draw(t, label+" description")}
+	s := names(t, label+" services")
+	for _, n := range s {
+		p = p.WithService(router.Service{
+			Name:    n,
+			Timeout: time.Duration(rapid.IntRange(1, 5000).Draw(t, label+" timeout")) * time.Millisecond,
+			Retry:   router.RetryPolicy{MaxAttempts: rapid.IntRange(1, 10).Draw(t, label+" attempts"), BudgetPercent: 20},
+			Limits:  router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+		})
+	}
+	for _, n := range names(t, label+" routes") {
+		p = p.WithRoute(router.Route{
+			Name:         n,
+			PathPrefix:   "/" + n,
+			Destinations: []router.Destination{{Service: rapid.SampledFrom(s).Draw(t, label+" service"), Weight: 1}},
+			Idempotent:   rapid.Bool().Draw(t, label+" idempotent"),
+		})
+	}
+	return p
+}
+
+func TestCanonicalBodyRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := EncodeProfile(profiles(t, "p"))
+		p, err := DecodeProfile(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c := EncodeProfile(p); !bytes.Equal(b, c) {
+			t.Fatalf("got\n%s\nwant\n%s", c, b)
+		}
+	})
+}
+
+func TestPatchLeadsFromAnyBaseToAnyTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := profiles(t, "base")
+		b := profiles(t, "target")
+		d := EncodeDelta(Diff(a, b))
+		p, err := Patch(a, d, DigestProfile(b))
+		if err != nil {
+			t.Fatal(err)
+		}
+		q, err := DecodeProfile(EncodeProfile(b))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(p, q) {
+			t.Fatalf("got %+v, want %+v", p, q)
+		}
+	})
+}
+
+func TestPatchOnAnotherBaseIsRefused(t *testing.T) {
+	p, err := DecodeProfile([]byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := p.WithDescription("changed")
+	d := EncodeDelta(Diff(p, q))
+	if _, err := Patch(p.WithoutService("fihris"), d, DigestProfile(q)); err == nil {
+		t.Error("a delta was applied to a base that it was not made for")
+	}
+}
+
+func FuzzDecodeProfile(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(`{"name":1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := DecodeProfile(data)
+		if err != nil {
+			return
+		}
+		b := EncodeProfile(p)
+		if _, err := Verify(b, DigestOf(b)); err != nil {
+			t.Errorf("an accepted profile does not survive encoding: %v", err)
+		}
+	})
+}
+
+func FuzzDecodeDelta(f *testing.F) {
+	f.Add([]byte(`{"removed_routes": ["a"]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := DecodeProfile([]byte(valid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Patch(p, data, Digest{}); err == nil {
+			t.Error("a delta with a wrong digest was applied")
+		}
+	})
+}
--- a/internal/imitator/fault.go
+++ b/internal/imitator/fault.go
@@ -15,6 +15,8 @@
 	Delay time.Duration
 	// LoseAnswers is the number of writes that take effect unanswered.
 	LoseAnswers int
+	// DownAfterLoss makes the service go down with the first lost answer.
+	DownAfterLoss bool
 	// ReadRate and WriteRate bound calls per second; zero is unbounded.
 	ReadRate  int
 	WriteRate int
@@ -95,6 +97,7 @@
 		return false
 	}
 	c.faults.LoseAnswers--
+	c.faults.Down = c.faults.DownAfterLoss
 	return true
 }
 
--- a/internal/imitator/server.go
+++ b/internal/imitator/server.go
@@ -30,6 +30,7 @@
 	Silent      bool `json:"silent"`
 	DelayMS     int  `json:"delay_ms"`
 	LoseAnswers int  `json:"lose_answers"`
+	DownAfter   bool `json:"down_after_loss"`
 	ReadRate    int  `json:"read_rate"`
 	WriteRate   int  `json:"write_rate"`
 }
@@ -229,12 +230,13 @@
 		return
 	}
 	s.control.set(Faults{
-		Down:        j.Down,
-		Silent:      j.Silent,
-		Delay:       time.Duration(j.DelayMS) * time.Millisecond,
-		LoseAnswers: j.LoseAnswers,
-		ReadRate:    j.ReadRate,
-		WriteRate:   j.WriteRate,
+		Down:          j.Down,
+		Silent:        j.Silent,
+		Delay:         time.Duration(j.DelayMS) * time.Millisecond,
+		LoseAnswers:   j.LoseAnswers,
+		DownAfterLoss: j.DownAfter,
+		ReadRate:      j.ReadRate,
+		WriteRate:     j.WriteRate,
 	})
 }
 
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -14,7 +14,7 @@
 // The units of instruments (UCUM).
 const (
 	bytesUnit = "By"
-	countUnit = "1"
+	countUnit = ""
 )
 
 type counter struct {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -1,10 +1,12 @@
 package scenarios
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -27,6 +29,7 @@
 	"call":     callCommand,
 	"settle":   settleCommand,
 	"runs":     runsCommand,
+	"exits":    exitsCommand,
 }
 
 func check(ts *testscript.TestScript, err error) {
@@ -253,3 +256,19 @@
 	check(ts, err)
 	_, _ = fmt.Fprintf(ts.Stdout(), "%s", b)
 }
+
+// exitsCommand runs a program and checks its exit code: exits CODE PROGRAM
+// [ARGUMENT...].
+func exitsCommand(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	c := 0
+	var x *exec.ExitError
+	if errors.As(err, &x) {
+		c = x.ExitCode()
+	} else {
+		check(ts, err)
+	}
+	if strconv.Itoa(c) != args[0] {
+		ts.Fatalf("exit code %d, expected %s", c, args[0])
+	}
+}
