Prove distribution under store outages, kills, pauses, rewinds and cuts

Scenarios with real processes, each of which failed first for a real fault: - store_down: a promote whose reads failed was reported as unknown. Cause: the store's client gave reads the verdict of writes. Reads change nothing, so they carry 'not run' now. - store_rewound: a relay whose slot the store had forgotten stayed a relay that operators could not find. Cause: a child that moved was still counted at its old parent. A broken poll drops the child at once, and only an exact count ends the wait. - silent_links: a call whose first attempt may have run was answered 'not run' because a second attempt found no other target. The verdict speaks for all attempts now, and a target may be tried again on a new connection. Ruled out for the last one: the membership (it knew the target all along).

Adds the stand-in network that loses traffic between nodes.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -114,6 +114,7 @@
 		DataCenter:          n.dataCenter,
 		Profile:             demoProfile,
 		PeerAddress:         d.nodeAddress(i, 0),
+		PeerBindAddress:     d.nodeAddress(i, 0),
 		CallerAddress:       d.nodeAddress(i, 1),
 		LocalAddress:        d.nodeAddress(i, 2),
 		StoreAddress:        d.address(demoStorePort),
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -121,7 +121,7 @@
 		return tally{}, err
 	}
 	t := tally{counts: make(map[uint64]int)}
-	d := connector.NewDialer(connector.NewTransport(&meter.Traffic{}))
+	d := connector.NewDialer(connector.NewTransport(&meter.Traffic{}, ""))
 	for _, i := range l {
 		a, err := ask(ctx, d, string(i.Value.Data))
 		if err != nil {
@@ -154,7 +154,9 @@
 	}
 }
 
-// awaitGeneration waits until every known node holds generation.
+// awaitGeneration waits until every known node holds generation. A node that
+// moves between parents may be counted twice for a moment, so that only an
+// exact count will do.
 func awaitGeneration(ctx context.Context, s storeOptions, generation uint64) (tally, error) {
 	var t tally
 	for {
@@ -162,7 +164,7 @@
 		if err == nil {
 			t = n
 		}
-		if t.known > 0 && t.hold >= t.known {
+		if t.known > 0 && t.hold == t.known {
 			return t, nil
 		}
 		select {
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -30,6 +30,9 @@
 	Profile string
 	// PeerAddress is where other nodes reach this one, over TCP and UDP.
 	PeerAddress string
+	// PeerBindAddress is what the node listens on and sends from, where that
+	// is not the address under which others reach it.
+	PeerBindAddress string
 	// CallerAddress is where callers send requests.
 	CallerAddress string
 	// LocalAddress is where targets announce themselves, and where state and
@@ -57,6 +60,9 @@
 	{"data_center", func(o *parser.Object, n string, s *Settings) { s.DataCenter = readName(o, n) }},
 	{"profile", func(o *parser.Object, n string, s *Settings) { s.Profile = readName(o, n) }},
 	{"peer_address", func(o *parser.Object, n string, s *Settings) { s.PeerAddress = readAddress(o, n) }},
+	{"peer_bind_address", func(o *parser.Object, n string, s *Settings) {
+		s.PeerBindAddress = readOptionalAddress(o, n, s.PeerAddress)
+	}},
 	{"caller_address", func(o *parser.Object, n string, s *Settings) { s.CallerAddress = readAddress(o, n) }},
 	{"local_address", func(o *parser.Object, n string, s *Settings) { s.LocalAddress = readAddress(o, n) }},
 	{"store_address", func(o *parser.Object, n string, s *Settings) { s.StoreAddress = readAddress(o, n) }},
@@ -113,6 +119,14 @@
 	return s
 }
 
+func readOptionalAddress(o *parser.Object, name, fallback string) string {
+	if !o.Has(name) {
+		_ = o.Text(name)
+		return fallback
+	}
+	return readAddress(o, name)
+}
+
 func validAddress(s string) bool {
 	h, p, err := net.SplitHostPort(s)
 	if err != nil || net.ParseIP(h) == nil {
@@ -125,7 +139,7 @@
 // checkDistinct reports listeners that share an address.
 func checkDistinct(s Settings, r *parser.Report) {
 	l := []struct{ name, address string }{
-		{"peer_address", s.PeerAddress},
+		{"peer_bind_address", s.PeerBindAddress},
 		{"caller_address", s.CallerAddress},
 		{"local_address", s.LocalAddress},
 	}
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -41,7 +41,7 @@
 		{
 			name: "unknown field", old: `"node"`, new: `"nod": 1, "node"`,
 			want: []string{"nod: 1: expected one of the fields caller_address, data_center, fan_out, local_address, " +
-				"log_verbosity, node, peer_address, peers, profile, relays_per_data_center, store_address"},
+				"log_verbosity, node, peer_address, peer_bind_address, peers, profile, relays_per_data_center, store_address"},
 		},
 		{
 			name: "field twice", old: `"node"`, new: `"node": "a", "node"`,
@@ -63,7 +63,7 @@
 		},
 		{
 			name: "shared address", old: "127.0.0.1:7102", new: "10.1.0.11:7100",
-			want: []string{`local_address: "10.1.0.11:7100": expected another address than peer_address`},
+			want: []string{`local_address: "10.1.0.11:7100": expected another address than peer_bind_address`},
 		},
 		{
 			name: "bad peer", old: `"node"`, new: `"peers": ["10.0.0.1:7100", 7], "node"`,
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -25,13 +25,14 @@
 	keepAliveInterval = 15 * time.Second
 )
 
-// NewTransport returns a transport to other nodes whose bytes t counts.
-func NewTransport(t *meter.Traffic) *http.Transport {
+// NewTransport returns a transport to other nodes whose bytes t counts. It
+// sends from the IP number of address from, unless that is empty.
+func NewTransport(t *meter.Traffic, from string) *http.Transport {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		Protocols:          &p,
-		DialContext:        t.Dialer(&net.Dialer{Timeout: dialBound, KeepAlive: keepAliveInterval}),
+		DialContext:        t.Dialer(&net.Dialer{Timeout: dialBound, KeepAlive: keepAliveInterval, LocalAddr: source(from)}),
 		IdleConnTimeout:    idleBound,
 		DisableCompression: true,
 		HTTP2: &http.HTTP2Config{
@@ -56,3 +57,16 @@
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 }
+
+// source returns the IP number of an address with any port, or nil.
+func source(address string) net.Addr {
+	h, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil
+	}
+	i := net.ParseIP(h)
+	if i == nil || i.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: i}
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -97,6 +97,8 @@
 	body     *body
 	deadline time.Time
 	tried    map[string]bool
+	// ran says that an attempt may have run.
+	ran bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -213,13 +215,22 @@
 		if err == nil {
 			return a, nil
 		}
+		j.ran = j.ran || judge.Of(err) == judge.MayHaveRun
 		if !e.again(j, n, err) {
-			return nil, err
+			return nil, j.verdict(err)
 		}
 		e.stats.Retries.Add(1)
 	}
 }
 
+// verdict makes err speak for all attempts, not only for the last one.
+func (j *job) verdict(err error) error {
+	if !j.ran || judge.Of(err) == judge.MayHaveRun {
+		return err
+	}
+	return judge.Wrap(err, judge.Interrupted, judge.MayHaveRun, "an earlier attempt may have run")
+}
+
 func (e *Entry) again(j *job, n int, err error) bool {
 	a := retrier.Attempt{
 		Number:     n,
@@ -259,8 +270,20 @@
 	return a.closing(cancel), nil
 }
 
-// pick chooses a target of the service, or of its fallbacks when it has none.
+// pick chooses a target that was not tried yet, or else one that was: a new
+// connection may do better.
 func (e *Entry) pick(j *job) (gossiper.Endpoint, bool) {
+	p, ok := e.pickUntried(j)
+	if ok || len(j.tried) == 0 {
+		return p, ok
+	}
+	clear(j.tried)
+	return e.pickUntried(j)
+}
+
+// pickUntried chooses a target of the service, or of its fallbacks when it
+// has none.
+func (e *Entry) pickUntried(j *job) (gossiper.Endpoint, bool) {
 	v := e.view()
 	for range len(j.profile.Services) {
 		l := v.Service(j.service.Name)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -46,6 +46,7 @@
 	budget   *limiter.Bucket
 
 	lease     storer.LeaseID
+	slot      string
 	connected atomic.Bool
 }
 
@@ -147,6 +148,7 @@
 		return false, err
 	}
 	r.lease = id
+	r.slot = k
 	return true, nil
 }
 
@@ -202,7 +204,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var g grouper.Group
 	g.Loop(ctx, r.watch)
-	g.Loop(ctx, r.introduce)
+	g.Go(func() {
+		r.introduce(ctx)
+		cancel()
+	})
 	r.renew(ctx)
 	cancel()
 	g.Wait()
@@ -231,11 +236,16 @@
 }
 
 // introduce finds the relays of other data centres, now and then, so that
-// parts of the mesh that lost each other meet again.
+// parts of the mesh that lost each other meet again. It returns once the store
+// has lost this relay's slot, as when it went back to older data.
 func (r *Relayer) introduce(ctx context.Context) {
 	for {
-		if _, err := r.list(ctx, ""); err != nil {
+		l, err := r.list(ctx, "")
+		if err != nil {
 			klog.V(1).Infof(logPrefix+"Listing relays failed: %v", err)
+		} else if !r.owns(l) {
+			klog.Warning(logPrefix + "The store has lost this relay's slot.")
+			return
 		}
 		if !pause(ctx, listPeriod/2+rand.N(listPeriod)) {
 			return
@@ -243,6 +253,16 @@
 	}
 }
 
+func (r *Relayer) owns(l []storer.Item) bool {
+	self := r.gossiper.Self().PeerAddress
+	for _, i := range l {
+		if i.Key == r.slot {
+			return string(i.Value.Data) == self
+		}
+	}
+	return false
+}
+
 // pause waits for d and reports whether ctx is still alive.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -86,11 +86,11 @@
 
 func (n *Node) listen() error {
 	var err error
-	if n.sockets.peer, err = net.Listen("tcp", n.settings.PeerAddress); err != nil {
-		return fmt.Errorf("runner: peer_address: %w", err)
+	if n.sockets.peer, err = net.Listen("tcp", n.settings.PeerBindAddress); err != nil {
+		return fmt.Errorf("runner: peer_bind_address: %w", err)
 	}
-	if n.sockets.packet, err = net.ListenPacket("udp", n.settings.PeerAddress); err != nil {
-		return fmt.Errorf("runner: peer_address: %w", err)
+	if n.sockets.packet, err = net.ListenPacket("udp", n.settings.PeerBindAddress); err != nil {
+		return fmt.Errorf("runner: peer_bind_address: %w", err)
 	}
 	if n.sockets.caller, err = net.Listen("tcp", n.settings.CallerAddress); err != nil {
 		return fmt.Errorf("runner: caller_address: %w", err)
@@ -113,7 +113,7 @@
 	n.registrar.Changed = func(l []gossiper.Target) {
 		n.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithTargets(l) })
 	}
-	d := connector.NewDialer(connector.NewTransport(&n.control))
+	d := connector.NewDialer(connector.NewTransport(&n.control, n.settings.PeerBindAddress))
 	n.reconciler = gossiper.NewReconciler(n.gossiper, d.Dial)
 	n.joiner = joiner.New(n.reconciler, store, n.settings.PeerAddress, n.settings.Peers)
 	n.server = syncer.NewServer(&n.holder, &n.tallier, n.settings.FanOut)
@@ -127,7 +127,7 @@
 func (n *Node) buildCalls() {
 	n.gate = forwarder.NewGate(&n.registrar, &n.calls)
 	w := forwarder.Where{Node: n.settings.Node, DataCenter: n.settings.DataCenter, Profile: n.settings.Profile}
-	n.entry = forwarder.NewEntry(&n.holder, n.gossiper.View, n.gate, connector.NewTransport(&n.calls), &n.stats, w)
+	n.entry = forwarder.NewEntry(&n.holder, n.gossiper.View, n.gate, connector.NewTransport(&n.calls, n.settings.PeerBindAddress), &n.stats, w)
 	n.peer = connector.NewServer(n.peerHandler())
 	n.caller = connector.NewServer(n.entry)
 	n.local = connector.NewServer(n.localHandler())
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -134,15 +134,16 @@
 	}
 	r, err := q.Execute(method, path)
 	if err != nil {
-		return nil, judge.Wrap(err, judge.Unavailable, transportVerdict(err), "store: %s", method)
+		return nil, judge.Wrap(err, judge.Unavailable, transportVerdict(method, err), "store: %s", method)
 	}
 	return r, statusError(r)
 }
 
-// transportVerdict is NotRun only when no connection could be opened.
-func transportVerdict(err error) judge.Verdict {
+// transportVerdict is NotRun for reads, which change nothing, and for writes
+// when no connection could be opened.
+func transportVerdict(method string, err error) judge.Verdict {
 	var o *net.OpError
-	if errors.As(err, &o) && o.Op == "dial" {
+	if method == http.MethodGet || (errors.As(err, &o) && o.Op == "dial") {
 		return judge.NotRun
 	}
 	return judge.MayHaveRun
@@ -162,7 +163,7 @@
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
 		return judge.Error(judge.Invalid, judge.NotRun, "store: %s", m)
 	}
-	return judge.Error(judge.Unavailable, judge.MayHaveRun, "store: status %d: %s", r.StatusCode(), m)
+	return judge.Error(judge.Unavailable, transportVerdict(r.Request.Method, nil), "store: status %d: %s", r.StatusCode(), m)
 }
 
 func readValue(r *resty.Response) (Value, error) {
--- a/internal/syncer/server.go
+++ b/internal/syncer/server.go
@@ -15,7 +15,7 @@
 const (
 	maxWait = 30 * time.Second
 	// childGrace is how long a child counts after its poll has ended.
-	childGrace = time.Second
+	childGrace = 300 * time.Millisecond
 	// childrenPerFanOut bounds the children beyond the planned fan-out, which
 	// come while others are gone.
 	childrenPerFanOut = 2
@@ -51,7 +51,7 @@
 		if !ok {
 			return &messenger.PullResponse{Busy: true}
 		}
-		defer func() { s.tallier.Release(q.GetNode(), p, time.Now().Add(childGrace)) }()
+		defer s.endPoll(ctx, q.GetNode(), p)
 	}
 	ctx, cancel := context.WithTimeout(ctx, w)
 	defer cancel()
@@ -62,6 +62,15 @@
 	return s.answer(q, c)
 }
 
+// endPoll keeps a child that was answered for a moment, until it polls again.
+func (s *Server) endPoll(ctx context.Context, node string, poll uint64) {
+	if ctx.Err() != nil {
+		s.tallier.Forget(node, poll)
+		return
+	}
+	s.tallier.Release(node, poll, time.Now().Add(childGrace))
+}
+
 func (s *Server) answer(q *messenger.PullRequest, c *holder.Snapshot) *messenger.PullResponse {
 	b := s.base(q)
 	if b == nil && !s.admitted.Take(time.Now()) {
--- a/internal/syncer/tally.go
+++ b/internal/syncer/tally.go
@@ -67,8 +67,8 @@
 	return t.polls, true
 }
 
-// Release notes that a poll has ended. The child is forgotten at until unless
-// it has begun another one.
+// Release notes that a poll was answered. The child is forgotten at until
+// unless it has begun another one.
 func (t *Tallier) Release(node string, poll uint64, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -79,6 +79,15 @@
 	}
 }
 
+// Forget drops a child that broke its poll off: it may be at another parent.
+func (t *Tallier) Forget(node string, poll uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.children[node].poll == poll {
+		delete(t.children, node)
+	}
+}
+
 // Children returns the number of children that reported lately.
 func (t *Tallier) Children(now time.Time) int {
 	t.mu.Lock()
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -30,6 +30,9 @@
 	"settle":   settleCommand,
 	"runs":     runsCommand,
 	"exits":    exitsCommand,
+	"network":  networkCommand,
+	"relays":   relaysCommand,
+	"waitfor":  waitforCommand,
 }
 
 func check(ts *testscript.TestScript, err error) {
@@ -57,10 +60,12 @@
 		peers = append(peers, strconv.Quote(m.address(p+".peer")))
 	}
 	s := fmt.Sprintf(`{"node": %q, "data_center": %q, "profile": "everyday", "log_verbosity": 1,
-		"peer_address": %q, "caller_address": %q, "local_address": %q, "store_address": %q,
+		"peer_address": %q, "peer_bind_address": %q, "caller_address": %q, "local_address": %q, "store_address": %q,
 		"relays_per_data_center": %s, "fan_out": 2, "peers": [%s]}`,
-		n, args[1], m.address(n+".peer"), m.address(n+".caller"), m.address(n+".local"),
+		n, args[1], m.address(n+".peer"), m.bind(n), m.address(n+".caller"), m.address(n+".local"),
 		m.address("store"), ts.Getenv("RELAYS"), strings.Join(peers, ", "))
+	m.dataCenters[n] = args[1]
+	check(ts, m.link(n))
 	f := filepath.Join(m.dir, n+".json")
 	check(ts, os.WriteFile(f, []byte(s), 0o600))
 	check(ts, m.start(n, "dragonflydoor", "node", "--settings", f))
@@ -272,3 +277,67 @@
 		ts.Fatalf("exit code %d, expected %s", c, args[0])
 	}
 }
+
+// networkCommand controls the links: network on, before the first node;
+// network cut A B between data centres; network heal; network silence NODE.
+func networkCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	switch args[0] {
+	case "on":
+		m.network = true
+	case "cut":
+		m.cut(args[1], args[2])
+	case "heal":
+		for _, l := range m.links {
+			l.Unblock()
+		}
+	case "silence":
+		m.links[args[1]].Silence()
+	default:
+		ts.Fatalf("network %s?", args[0])
+	}
+}
+
+// relaysCommand waits until so many running nodes are relays, and names them
+// in the environment as RELAY1, RELAY2 and so on, the others as CHILD1 and so
+// on: relays COUNT.
+func relaysCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	check(ts, eventually(stepBound, func() error {
+		r, c := 0, 0
+		for _, p := range m.nodes() {
+			d, err := m.dump(p.name)
+			if err != nil {
+				return err
+			}
+			if d.Relay {
+				r++
+				ts.Setenv(fmt.Sprintf("RELAY%d", r), p.name)
+				continue
+			}
+			c++
+			ts.Setenv(fmt.Sprintf("CHILD%d", c), p.name)
+		}
+		if strconv.Itoa(r) != args[0] {
+			return fmt.Errorf("%d relays, expected %s", r, args[0])
+		}
+		return nil
+	}))
+}
+
+// waitforCommand repeats a command until its output contains a text:
+// waitfor BOUND COMMAND TEXT.
+func waitforCommand(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	check(ts, err)
+	f := strings.Fields(args[1])
+	check(ts, eventually(d, func() error {
+		c := exec.Command(f[0], f[1:]...)
+		c.Env = append(os.Environ(), "DRAGONFLYDOOR_STORE="+ts.Getenv("DRAGONFLYDOOR_STORE"))
+		b, err := c.CombinedOutput()
+		if err != nil || !strings.Contains(string(b), args[2]) {
+			return fmt.Errorf("%s: %v: %q is not in:\n%s", args[1], err, args[2], b)
+		}
+		return nil
+	}))
+}
--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +17,9 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
+	"github.com/dragonflydoor/dragonflydoor/internal/imitator"
 )
 
 const (
@@ -41,12 +45,26 @@
 	processes map[string]*process
 	ports     map[string]int
 	names     []string
+	// links stand in front of the nodes when the script asks for a network.
+	links       map[string]*imitator.Link
+	dataCenters map[string]string
+	network     bool
+	group       grouper.Group
+	ctx         context.Context
+	cancel      context.CancelFunc
 }
 
 type meshKey struct{}
 
 func setup(e *testscript.Env) error {
-	m := &mesh{dir: e.WorkDir, processes: make(map[string]*process), ports: make(map[string]int)}
+	m := &mesh{
+		dir:         e.WorkDir,
+		processes:   make(map[string]*process),
+		ports:       make(map[string]int),
+		links:       make(map[string]*imitator.Link),
+		dataCenters: make(map[string]string),
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
 	e.Values[meshKey{}] = m
 	e.Defer(m.killAll)
 	e.Setenv("DRAGONFLYDOOR_STORE", m.address("store"))
@@ -120,6 +138,41 @@
 		_ = p.command.Process.Kill()
 		<-p.done
 	}
+	m.cancel()
+}
+
+// bind returns the address that a node itself listens on. With a network each
+// node has an IP number of its own, so that links can tell nodes apart.
+func (m *mesh) bind(node string) string {
+	if !m.network {
+		return m.address(node + ".peer")
+	}
+	_ = m.address(node + ".bind")
+	return fmt.Sprintf("%s:%d", m.ip(node), m.ports[node+".bind"])
+}
+
+func (m *mesh) ip(node string) string {
+	return "127.0.0.1" + strings.TrimPrefix(node, "n")
+}
+
+// link puts a link in front of a node, once.
+func (m *mesh) link(node string) error {
+	if !m.network || m.links[node] != nil {
+		return nil
+	}
+	m.links[node] = imitator.NewLink(m.address(node+".peer"), m.bind(node))
+	return m.links[node].Start(m.ctx, &m.group)
+}
+
+// cut loses everything between two data centres.
+func (m *mesh) cut(a, b string) {
+	for n, l := range m.links {
+		for o, d := range m.dataCenters {
+			if (m.dataCenters[n] == a && d == b) || (m.dataCenters[n] == b && d == a) {
+				l.Block(m.ip(o))
+			}
+		}
+	}
 }
 
 func (p *process) alive() bool {
