--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,11 @@
 scenarios:
 	go test -race -timeout 6m ./scenarios
 
+# measure prints one JSON object a line; MEASURE passes options, such as --short.
 measure:
-	go run ./cmd/measure
+	go build -o $(BIN)/dragonflydoor .
+	go build -o $(BIN)/standin ./cmd/standin
+	go run ./cmd/measure --program $(BIN)/dragonflydoor --standin $(BIN)/standin $(MEASURE)
 
 generate: $(BUF)
 	cd tools && GOBIN=$(BIN) go install tool
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -18,13 +18,15 @@
 
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/imitator"
+	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
 const headerBound = 10 * time.Second
 
 type arguments struct {
-	Store  *storeCommand  `arg:"subcommand:store" help:"run the key-value service"`
-	Target *targetCommand `arg:"subcommand:target" help:"run a target"`
+	Store    *storeCommand    `arg:"subcommand:store" help:"run the key-value service"`
+	Target   *targetCommand   `arg:"subcommand:target" help:"run a target"`
+	Baseline *baselineCommand `arg:"subcommand:baseline" help:"run a node of the baseline design"`
 }
 
 type storeCommand struct {
@@ -56,6 +58,8 @@
 		err = a.Store.run(ctx)
 	case a.Target != nil:
 		err = a.Target.run(ctx)
+	case a.Baseline != nil:
+		err = a.Baseline.run(ctx)
 	}
 	if err != nil {
 		_, _ = fmt.Fprintln(errs, err)
@@ -64,6 +68,20 @@
 	return 0
 }
 
+type baselineCommand struct {
+	Address string `arg:"--address,required"`
+	Store   string `arg:"--store,required"`
+}
+
+func (c *baselineCommand) run(ctx context.Context) error {
+	b := &imitator.Baseline{Store: storer.NewClient(c.Store)}
+	l, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, l, b.Handler(), b.Run)
+}
+
 func (c *storeCommand) run(ctx context.Context) error {
 	var s imitator.Server
 	l, err := net.Listen("tcp", c.Address)
