--- a/internal/accepter/state.go
+++ b/internal/accepter/state.go
@@ -13,7 +13,7 @@
 )
 
 // HistoryLength is the number of latest operations that a state remembers.
-const HistoryLength = 64
+const HistoryLength = 32
 
 // Kind names what an operation does.
 type Kind string
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/imitator"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 	"github.com/dragonflydoor/dragonflydoor/internal/runner"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
@@ -121,7 +122,7 @@
 		Peers:               []string{d.nodeAddress(0, 0)},
 		RelaysPerDataCenter: 1,
 		FanOut:              2,
-	}, storer.NewClient(d.address(demoStorePort)))
+	})
 	if err != nil {
 		return err
 	}
@@ -167,7 +168,7 @@
 		return err
 	}
 	s := d.address(demoStorePort)
-	u := publisher.New(storer.NewClient(s), "demo")
+	u := publisher.New(storer.NewClient(s, &meter.Traffic{}), "demo")
 	if _, err := u.Publish(ctx, p, newOperationID()); err != nil {
 		return err
 	}
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -12,7 +12,6 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 	"github.com/dragonflydoor/dragonflydoor/internal/runner"
-	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
 type nodeCommand struct {
@@ -25,7 +24,7 @@
 		return err
 	}
 	setVerbosity(s.Verbosity)
-	n, err := runner.New(s, storer.NewClient(s.StoreAddress))
+	n, err := runner.New(s)
 	if err != nil {
 		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
 	}
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
@@ -31,7 +32,7 @@
 }
 
 func (o storeOptions) publisher() *publisher.Publisher {
-	return publisher.New(storer.NewClient(o.Store), o.Operator)
+	return publisher.New(storer.NewClient(o.Store, &meter.Traffic{}), o.Operator)
 }
 
 // outputOptions choose between text for people and JSON for scripts.
--- a/internal/encoder/delta.go
+++ b/internal/encoder/delta.go
@@ -1,9 +1,6 @@
 package encoder
 
 import (
-	"fmt"
-	"reflect"
-
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
@@ -18,6 +15,11 @@
 	RemovedRoutes   []string
 }
 
+// Len returns the number of entries that the delta touches.
+func (d Delta) Len() int {
+	return len(d.Services) + len(d.Routes) + len(d.RemovedServices) + len(d.RemovedRoutes)
+}
+
 type deltaJSON struct {
 	Description     string        `json:"description,omitempty"`
 	Services        []serviceJSON `json:"services,omitempty"`
@@ -26,50 +28,6 @@
 	RemovedRoutes   []string      `json:"removed_routes,omitempty"`
 }
 
-// Diff returns what turns base into target, which have the same name.
-func Diff(base, target router.Profile) Delta {
-	d := Delta{Description: target.Description}
-	for _, s := range target.Services {
-		if o, ok := base.Service(s.Name); !ok || o != s {
-			d.Services = append(d.Services, s)
-		}
-	}
-	for _, t := range target.Routes {
-		if o, ok := base.Route(t.Name); !ok || !reflect.DeepEqual(o, t) {
-			d.Routes = append(d.Routes, t)
-		}
-	}
-	for _, s := range base.Services {
-		if _, ok := target.Service(s.Name); !ok {
-			d.RemovedServices = append(d.RemovedServices, s.Name)
-		}
-	}
-	for _, t := range base.Routes {
-		if _, ok := target.Route(t.Name); !ok {
-			d.RemovedRoutes = append(d.RemovedRoutes, t.Name)
-		}
-	}
-	return d
-}
-
-// Apply returns base changed by d. The result is not checked.
-func Apply(base router.Profile, d Delta) router.Profile {
-	p := base.WithDescription(d.Description)
-	for _, n := range d.RemovedRoutes {
-		p = p.WithoutRoute(n)
-	}
-	for _, n := range d.RemovedServices {
-		p = p.WithoutService(n)
-	}
-	for _, s := range d.Services {
-		p = p.WithService(s)
-	}
-	for _, t := range d.Routes {
-		p = p.WithRoute(t)
-	}
-	return p
-}
-
 // EncodeDelta returns the JSON form of d.
 func EncodeDelta(d Delta) []byte {
 	j := deltaJSON{
@@ -104,26 +62,3 @@
 	o.Close()
 	return d, r.Problems().Err()
 }
-
-// Patch applies an encoded delta to base and returns the checked profile,
-// provided that its digest is want.
-func Patch(base router.Profile, delta []byte, want Digest) (router.Profile, error) {
-	d, err := DecodeDelta(delta)
-	if err != nil {
-		return router.Profile{}, fmt.Errorf("encoder: delta: %w", err)
-	}
-	return Verify(EncodeProfile(Apply(base, d)), want)
-}
-
-// Verify reads a canonical body and returns the checked profile, provided
-// that its digest is want.
-func Verify(body []byte, want Digest) (router.Profile, error) {
-	if g := DigestOf(body); g != want {
-		return router.Profile{}, fmt.Errorf("encoder: body has digest %s, expected %s", g.Short(), want.Short())
-	}
-	p, err := DecodeProfile(body)
-	if err != nil {
-		return router.Profile{}, fmt.Errorf("encoder: body: %w", err)
-	}
-	return p, nil
-}
--- a/internal/encoder/digest.go
+++ b/internal/encoder/digest.go
@@ -4,25 +4,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-
-	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
-// Digest is the SHA-256 of a canonical body. The zero value stands for none.
+// Digest is a SHA-256. The zero value stands for none.
 type Digest [sha256.Size]byte
 
 const shortDigestLength = 12
 
-// DigestOf returns the digest of body.
-func DigestOf(body []byte) Digest {
-	return sha256.Sum256(body)
-}
-
-// DigestProfile returns the digest of p's canonical body.
-func DigestProfile(p router.Profile) Digest {
-	return DigestOf(EncodeProfile(p))
-}
-
 // String returns the digest in hexadecimal.
 func (d Digest) String() string {
 	return hex.EncodeToString(d[:])
--- a/internal/encoder/profile_test.go
+++ b/internal/encoder/profile_test.go
@@ -133,18 +133,18 @@
 
 func TestPatchLeadsFromAnyBaseToAnyTarget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a := profiles(t, "base")
-		b := profiles(t, "target")
+		a := Seal(profiles(t, "base"))
+		b := Seal(profiles(t, "target"))
 		d := EncodeDelta(Diff(a, b))
-		p, err := Patch(a, d, DigestProfile(b))
+		p, err := a.Patch(d, b.Digest)
 		if err != nil {
 			t.Fatal(err)
 		}
-		q, err := DecodeProfile(EncodeProfile(b))
+		q, err := Verify(EncodeProfile(b.Profile), b.Digest)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if !reflect.DeepEqual(p, q) {
+		if !bytes.Equal(EncodeProfile(p.Profile), EncodeProfile(q.Profile)) || !reflect.DeepEqual(p.routes, q.routes) {
 			t.Fatalf("got %+v, want %+v", p, q)
 		}
 	})
@@ -156,8 +156,8 @@
 		t.Fatal(err)
 	}
 	q := p.WithDescription("changed")
-	d := EncodeDelta(Diff(p, q))
-	if _, err := Patch(p.WithoutService("fihris"), d, DigestProfile(q)); err == nil {
+	d := EncodeDelta(Diff(Seal(p), Seal(q)))
+	if _, err := Seal(p.WithoutRoute("catalog")).Patch(d, Seal(q).Digest); err == nil {
 		t.Error("a delta was applied to a base that it was not made for")
 	}
 }
@@ -170,8 +170,7 @@
 		if err != nil {
 			return
 		}
-		b := EncodeProfile(p)
-		if _, err := Verify(b, DigestOf(b)); err != nil {
+		if _, err := Verify(EncodeProfile(p), Seal(p).Digest); err != nil {
 			t.Errorf("an accepted profile does not survive encoding: %v", err)
 		}
 	})
@@ -184,7 +183,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := Patch(p, data, Digest{}); err == nil {
+		if _, err := Seal(p).Patch(data, Digest{}); err == nil {
 			t.Error("a delta with a wrong digest was applied")
 		}
 	})
--- /dev/null
+++ b/internal/encoder/sealed.go
@@ -0,0 +1,181 @@
+package encoder
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/parser"
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
+	"github.com/dragonflydoor/dragonflydoor/internal/validator"
+)
+
+// digestForm names what a profile's digest is made of, so that another form
+// can never give the same one.
+const digestForm = "dragonflydoor profile 1"
+
+// Sealed is a profile with the digests of its services and routes, from which
+// its own digest is made. A small change costs little: only what changed is
+// hashed again. It is immutable.
+type Sealed struct {
+	Profile router.Profile
+	Digest  Digest
+
+	// services and routes run beside the lists of the profile.
+	services []Digest
+	routes   []Digest
+}
+
+// Seal computes the digests of p.
+func Seal(p router.Profile) Sealed {
+	s := Sealed{
+		Profile:  p,
+		services: make([]Digest, 0, len(p.Services)),
+		routes:   make([]Digest, 0, len(p.Routes)),
+	}
+	for _, v := range p.Services {
+		s.services = append(s.services, digestService(v))
+	}
+	for _, r := range p.Routes {
+		s.routes = append(s.routes, digestRoute(r))
+	}
+	return s.seal()
+}
+
+func (s Sealed) seal() Sealed {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s\n%q\n%q\n%d %d\n", digestForm, s.Profile.Name, s.Profile.Description, len(s.services), len(s.routes))
+	writeDigests(h, s.services)
+	writeDigests(h, s.routes)
+	h.Sum(s.Digest[:0])
+	return s
+}
+
+func writeDigests(w io.Writer, l []Digest) {
+	for i := range l {
+		_, _ = w.Write(l[i][:])
+	}
+}
+
+func digestService(s router.Service) Digest {
+	return sha256.Sum256(mustMarshal(writeService(s)))
+}
+
+func digestRoute(r router.Route) Digest {
+	return sha256.Sum256(mustMarshal(writeRoute(r)))
+}
+
+// Verify reads a canonical body and returns the checked profile, provided
+// that its digest is want.
+func Verify(body []byte, want Digest) (Sealed, error) {
+	p, err := DecodeProfile(body)
+	if err != nil {
+		return Sealed{}, fmt.Errorf("encoder: body: %w", err)
+	}
+	return Seal(p).expect(want)
+}
+
+func (s Sealed) expect(want Digest) (Sealed, error) {
+	if s.Digest != want {
+		return Sealed{}, fmt.Errorf("encoder: profile has digest %s, expected %s", s.Digest.Short(), want.Short())
+	}
+	return s, nil
+}
+
+// Patch applies an encoded delta and returns the checked profile, provided
+// that its digest is want.
+func (s Sealed) Patch(delta []byte, want Digest) (Sealed, error) {
+	d, err := DecodeDelta(delta)
+	if err != nil {
+		return Sealed{}, fmt.Errorf("encoder: delta: %w", err)
+	}
+	n, err := s.apply(d).expect(want)
+	if err != nil {
+		return Sealed{}, err
+	}
+	r := &parser.Report{}
+	validator.Check(n.Profile, r)
+	if err := r.Problems().Err(); err != nil {
+		return Sealed{}, fmt.Errorf("encoder: patched profile: %w", err)
+	}
+	return n, nil
+}
+
+// apply returns s changed by d, unchecked.
+func (s Sealed) apply(d Delta) Sealed {
+	n := Sealed{Profile: s.Profile.WithDescription(d.Description)}
+	n.Profile.Services, n.services = merge(s.Profile.Services, s.services, d.Services, d.RemovedServices, serviceName, digestService)
+	n.Profile.Routes, n.routes = merge(s.Profile.Routes, s.routes, d.Routes, d.RemovedRoutes, routeName, digestRoute)
+	return n.seal()
+}
+
+func serviceName(s router.Service) string { return s.Name }
+
+func routeName(r router.Route) string { return r.Name }
+
+// merge returns a sorted list with some entries replaced, added or removed,
+// and the digests beside it.
+func merge[T any](base []T, digests []Digest, changed []T, removed []string, name func(T) string, digest func(T) Digest) ([]T, []Digest) {
+	drop := make(map[string]bool)
+	for _, n := range removed {
+		drop[n] = true
+	}
+	c := slices.Clone(changed)
+	slices.SortFunc(c, func(a, b T) int { return strings.Compare(name(a), name(b)) })
+	l := make([]T, 0, len(base)+len(c))
+	g := make([]Digest, 0, len(base)+len(c))
+	add := func(v T, d Digest) {
+		l = append(l, v)
+		g = append(g, d)
+	}
+	for i, v := range base {
+		for len(c) > 0 && name(c[0]) < name(v) {
+			add(c[0], digest(c[0]))
+			c = c[1:]
+		}
+		switch {
+		case len(c) > 0 && name(c[0]) == name(v):
+			add(c[0], digest(c[0]))
+			c = c[1:]
+		case !drop[name(v)]:
+			add(v, digests[i])
+		}
+	}
+	for _, v := range c {
+		add(v, digest(v))
+	}
+	return l, g
+}
+
+// Diff returns what turns base into target, which have the same name.
+func Diff(base, target Sealed) Delta {
+	d := Delta{Description: target.Profile.Description}
+	d.Services, d.RemovedServices = compare(base.Profile.Services, base.services, target.Profile.Services, target.services, serviceName)
+	d.Routes, d.RemovedRoutes = compare(base.Profile.Routes, base.routes, target.Profile.Routes, target.routes, routeName)
+	return d
+}
+
+// compare walks through two sorted lists and returns the entries of target
+// that base lacks or has otherwise, and the names that target lacks.
+func compare[T any](base []T, baseDigests []Digest, target []T, targetDigests []Digest, name func(T) string) (changed []T, removed []string) {
+	i := 0
+	for j, v := range target {
+		for i < len(base) && name(base[i]) < name(v) {
+			removed = append(removed, name(base[i]))
+			i++
+		}
+		same := i < len(base) && name(base[i]) == name(v)
+		if !same || baseDigests[i] != targetDigests[j] {
+			changed = append(changed, v)
+		}
+		if same {
+			i++
+		}
+	}
+	for ; i < len(base); i++ {
+		removed = append(removed, name(base[i]))
+	}
+	return changed, removed
+}
--- /dev/null
+++ b/internal/encoder/sealed_bench_test.go
@@ -0,0 +1,58 @@
+package encoder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
+)
+
+// large returns a profile of the aimed size.
+func large() router.Profile {
+	p := router.Profile{Name: "large"}
+	for i := range 1100 {
+		n := fmt.Sprintf("service-%04d", i)
+		p.Services = append(p.Services, router.Service{
+			Name: n, Timeout: time.Second,
+			Retry:  router.RetryPolicy{MaxAttempts: 2, BudgetPercent: 20},
+			Limits: router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+		})
+		p.Routes = append(p.Routes, router.Route{
+			Name: fmt.Sprintf("route-%04d", i), PathPrefix: "/" + n,
+			Destinations: []router.Destination{{Service: n, Weight: 1}},
+		})
+	}
+	return p
+}
+
+func BenchmarkPatchOneService(b *testing.B) {
+	s := Seal(large())
+	v := s.Profile.Services[7]
+	v.Timeout = 2 * time.Second
+	t := Seal(s.Profile.WithService(v))
+	d := EncodeDelta(Diff(s, t))
+	for b.Loop() {
+		if _, err := s.Patch(d, t.Digest); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkVerifyWhole(b *testing.B) {
+	s := Seal(large())
+	body := EncodeProfile(s.Profile)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		if _, err := Verify(body, s.Digest); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkCompileTable(b *testing.B) {
+	p := large()
+	for b.Loop() {
+		router.NewTable(p)
+	}
+}
--- a/internal/holder/snapshot.go
+++ b/internal/holder/snapshot.go
@@ -15,12 +15,13 @@
 	router.Profile
 
 	Digest encoder.Digest
+	Sealed encoder.Sealed
 	Table  router.Table
 }
 
-// NewProfile compiles p.
-func NewProfile(p router.Profile, d encoder.Digest) *Profile {
-	return &Profile{Profile: p, Digest: d, Table: router.NewTable(p)}
+// NewProfile compiles s.
+func NewProfile(s encoder.Sealed) *Profile {
+	return &Profile{Profile: s.Profile, Digest: s.Digest, Sealed: s, Table: router.NewTable(s.Profile)}
 }
 
 // Snapshot is one generation of the whole configuration. It is immutable; the
--- a/internal/imitator/baseline.go
+++ b/internal/imitator/baseline.go
@@ -83,7 +83,10 @@
 		return nil, err
 	}
 	p, err := encoder.Verify(v.Data, e.Digest)
-	return holder.NewProfile(p, e.Digest), err
+	if err != nil {
+		return nil, err
+	}
+	return holder.NewProfile(p), nil
 }
 
 // Handler serves the same fields of the dump that a node serves.
--- a/internal/imitator/link.go
+++ b/internal/imitator/link.go
@@ -25,7 +25,7 @@
 // send, in both directions, without closing anything.
 type Link struct {
 	public string
-	real   string
+	node   string
 
 	mu      sync.Mutex
 	blocked map[string]bool
@@ -33,11 +33,11 @@
 	flows   map[string]*net.UDPConn
 }
 
-// NewLink returns a link from address public to address real.
-func NewLink(public, real string) *Link {
+// NewLink returns a link from address public to that of a node.
+func NewLink(public, node string) *Link {
 	return &Link{
 		public:  public,
-		real:    real,
+		node:    node,
 		blocked: make(map[string]bool),
 		conns:   make(map[*linkConn]bool),
 		flows:   make(map[string]*net.UDPConn),
@@ -134,7 +134,7 @@
 		p.silence()
 		return
 	}
-	f, err := net.DialTimeout("tcp", l.real, linkDial)
+	f, err := net.DialTimeout("tcp", l.node, linkDial)
 	if err != nil {
 		p.close()
 		return
@@ -235,7 +235,7 @@
 	if f, ok := l.flows[source.String()]; ok {
 		return f, nil
 	}
-	r, err := net.ResolveUDPAddr("udp", l.real)
+	r, err := net.ResolveUDPAddr("udp", l.node)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measurer/calls.go
+++ b/internal/measurer/calls.go
@@ -147,7 +147,7 @@
 		v[n+"_us"] = micros(percentile(mesh, p) - percentile(direct, p))
 		v["direct_"+n+"_us"] = micros(percentile(direct, p))
 	}
-	return f.print("call_overhead", v)
+	return f.report("call_overhead", v)
 }
 
 // measureThroughput loads the mesh and counts calls for each second of
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	return f.print("call_throughput", map[string]float64{
+	return f.report("call_throughput", map[string]float64{
 		"calls_per_s":      float64(n) / loadWindow.Seconds(),
 		"calls_per_core_s": float64(n) / (b - a).Seconds(),
 	})
@@ -207,7 +207,7 @@
 	peak, _, _ := f.load(ctx, slots, u)
 	good, refused, late := f.load(ctx, slots*overloadFactor, u)
 	s := loadWindow.Seconds()
-	return f.print("overload", map[string]float64{
+	return f.report("overload", map[string]float64{
 		"peak_goodput_per_s":     float64(peak) / s,
 		"overload_goodput_per_s": float64(good) / s,
 		"refused_per_s":          float64(refused) / s,
--- a/internal/measurer/convergence.go
+++ b/internal/measurer/convergence.go
@@ -140,6 +140,8 @@
 	nodes uint64
 	store counts
 	cpu   time.Duration
+	// operator is what the tool itself exchanged with the store, in bytes.
+	operator uint64
 }
 
 func (f *fleet) sample() (sample, error) {
@@ -154,6 +156,7 @@
 	if s.cpu, err = f.cpu(); err != nil {
 		return s, err
 	}
+	s.operator = f.operator.Received() + f.operator.Sent()
 	s.store, err = f.counts(false)
 	return s, err
 }
@@ -200,26 +203,27 @@
 func (f *fleet) printCosts(a, b sample, i rates, changes int) error {
 	s := b.at.Sub(a.at).Seconds()
 	n := float64(changes)
-	// The operator's own bytes go through the store too, the same in both designs.
-	src := float64(b.store.bytes()-a.store.bytes()) - i.storeBytes*s
+	op := float64(b.operator - a.operator)
+	src := float64(b.store.bytes()-a.store.bytes()) - op - i.storeBytes*s
 	node := float64(b.nodes-a.nodes)/float64(len(f.nodes)) - i.nodeBytes*s
 	calls := float64(b.store.calls()-a.store.calls()) - i.storeCalls*s
 	v := map[string]float64{
-		"source_bytes_per_change": src / n,
-		"source_idle_bytes_per_s": i.storeBytes,
+		"source_bytes_per_change":   src / n,
+		"operator_bytes_per_change": op / n,
+		"source_idle_bytes_per_s":   i.storeBytes,
 	}
 	if f.design == meshDesign {
 		v["node_bytes_per_change"] = node / n
 		v["node_idle_bytes_per_s"] = i.nodeBytes
 	}
-	if err := f.print("control_bytes", v); err != nil {
+	if err := f.report("control_bytes", v); err != nil {
 		return err
 	}
-	err := f.print("store_calls", map[string]float64{"per_change": calls / n, "idle_per_s": i.storeCalls})
+	err := f.report("store_calls", map[string]float64{"per_change": calls / n, "idle_per_s": i.storeCalls})
 	if err != nil {
 		return err
 	}
-	return f.print("node", map[string]float64{
+	return f.report("node", map[string]float64{
 		"cpu_percent_idle":    100 * i.cpu,
 		"cpu_percent_changes": 100 * (b.cpu - a.cpu).Seconds() / s / float64(len(f.nodes)),
 		"changes_per_s":       n / s,
@@ -270,7 +274,7 @@
 		}
 		last = append(last, m)
 	}
-	return f.print(name, map[string]float64{
+	return f.report(name, map[string]float64{
 		"p50_ms":      millis(percentile(last, 50)),
 		"p99_ms":      millis(percentile(last, 99)),
 		"max_ms":      millis(percentile(last, 100)),
@@ -360,7 +364,7 @@
 	if err != nil {
 		return err
 	}
-	return f.print("storm", map[string]float64{
+	return f.report("storm", map[string]float64{
 		"peak_reads_per_s":  float64(c.PeakReads),
 		"peak_writes_per_s": float64(c.PeakWrite),
 		"refused":           float64(c.Refused),
@@ -368,6 +372,6 @@
 	})
 }
 
-func (f *fleet) print(name string, v map[string]float64) error {
-	return f.bench.print(line{Name: name, Nodes: len(f.nodes), Design: f.design, Values: v})
+func (f *fleet) report(name string, v map[string]float64) error {
+	return f.bench.report(line{Name: name, Nodes: len(f.nodes), Design: f.design, Values: v})
 }
--- a/internal/measurer/fleet.go
+++ b/internal/measurer/fleet.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
+	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
@@ -51,6 +52,8 @@
 	others []*process
 	group  grouper.Group
 	client *http.Client
+	// operator counts what the tool itself exchanges with the store.
+	operator meter.Traffic
 }
 
 func (b *bench) newFleet(ctx context.Context, design string) (*fleet, error) {
@@ -188,7 +191,7 @@
 }
 
 func (f *fleet) publisher() *publisher.Publisher {
-	return publisher.New(storer.NewClient(f.storeAddress()), "measure")
+	return publisher.New(storer.NewClient(f.storeAddress(), &f.operator), "measure")
 }
 
 // dump is the part of a node's state dump that is measured.
--- a/internal/measurer/known.go
+++ b/internal/measurer/known.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	return f.print("node_known", map[string]float64{
+	return f.report("node_known", map[string]float64{
 		"known_targets":       float64(known),
 		"rss_mb":              c.rss,
 		"cpu_percent_idle":    100 * (b.cpu - a.cpu).Seconds() / knownWindow.Seconds(),
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -56,8 +56,8 @@
 	Values map[string]float64 `json:"values"`
 }
 
-// print writes a result as one JSON object with its values beside its name.
-func (b *bench) print(l line) error {
+// report writes a result as one JSON object with its values beside its name.
+func (b *bench) report(l line) error {
 	m := map[string]any{"name": l.Name, "nodes": l.Nodes, "design": l.Design}
 	for k, v := range l.Values {
 		m[k] = round(v)
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -34,9 +34,12 @@
 // Publish stores p as a new version without putting it in force. Publishing
 // the newest version again returns that version.
 func (p *Publisher) Publish(ctx context.Context, f router.Profile, id string) (accepter.Version, error) {
-	b := encoder.EncodeProfile(f)
-	d := encoder.DigestOf(b)
-	if err := p.putBody(ctx, storer.BodyKey(f.Name, d.String()), b); err != nil {
+	n := encoder.Seal(f)
+	d := n.Digest
+	if err := p.putOnce(ctx, storer.BodyKey(f.Name, d.String()), encoder.EncodeProfile(f)); err != nil {
+		return accepter.Version{}, err
+	}
+	if err := p.putDelta(ctx, n); err != nil {
 		return accepter.Version{}, err
 	}
 	var r accepter.Version
@@ -53,8 +56,40 @@
 	return r, err
 }
 
-// putBody writes an immutable body. A body that exists already is the same.
-func (p *Publisher) putBody(ctx context.Context, key string, body []byte) error {
+// putDelta writes what turns the version in force into n, so that relays need
+// not read the whole body. Without a version in force there is none.
+func (p *Publisher) putDelta(ctx context.Context, n encoder.Sealed) error {
+	s, _, err := p.State(ctx)
+	if err != nil {
+		return err
+	}
+	e, ok := s.Entry(n.Profile.Name)
+	if !ok || e.Withdrawn() || e.Digest == n.Digest {
+		return nil
+	}
+	o, err := p.body(ctx, e.Profile, e.Digest)
+	if err != nil {
+		return nil //nolint:nilerr // The delta only saves bytes; the body is there.
+	}
+	k := storer.DeltaKey(e.Profile, e.Digest.String(), n.Digest.String())
+	return p.putOnce(ctx, k, encoder.EncodeDelta(encoder.Diff(o, n)))
+}
+
+// body reads and checks a stored body.
+func (p *Publisher) body(ctx context.Context, profile string, d encoder.Digest) (encoder.Sealed, error) {
+	b, err := p.store.Get(ctx, storer.BodyKey(profile, d.String()))
+	if err != nil {
+		return encoder.Sealed{}, err
+	}
+	s, err := encoder.Verify(b.Data, d)
+	if err != nil {
+		return s, judge.Wrap(err, judge.Invalid, judge.NotRun, "body of profile %q", profile)
+	}
+	return s, nil
+}
+
+// putOnce writes an immutable value. One that exists already is the same.
+func (p *Publisher) putOnce(ctx context.Context, key string, body []byte) error {
 	return p.repeat(ctx, func() error {
 		_, err := p.store.Put(ctx, key, body, 0, 0)
 		if judge.Is(err, judge.Conflict) {
@@ -97,14 +132,21 @@
 		if holds(c, v.Digest) {
 			continue
 		}
-		k := storer.BodyKey(c.Profile, v.Digest.String())
-		b, err := p.store.Get(ctx, k)
-		if err == nil {
-			_ = p.store.Delete(ctx, k, b.Revision)
+		p.drop(ctx, storer.BodyKey(c.Profile, v.Digest.String()))
+		l, _ := p.store.List(ctx, storer.DeltaPrefix(c.Profile, v.Digest.String()))
+		for _, i := range l {
+			p.drop(ctx, i.Key)
 		}
 	}
 }
 
+func (p *Publisher) drop(ctx context.Context, key string) {
+	v, err := p.store.Get(ctx, key)
+	if err == nil {
+		_ = p.store.Delete(ctx, key, v.Revision)
+	}
+}
+
 func holds(c accepter.Catalog, d encoder.Digest) bool {
 	for _, v := range c.Versions {
 		if v.Digest == d {
@@ -127,7 +169,9 @@
 			return judge.Error(judge.NotFound, judge.NotRun, "version %d of profile %q is not published", version, profile)
 		}
 		v = n
-		return p.checkBody(ctx, profile, v)
+		// A version whose body nodes could not apply is refused here.
+		_, err = p.body(ctx, profile, v.Digest)
+		return err
 	})
 	if err != nil {
 		return accepter.Operation{}, err
@@ -142,18 +186,6 @@
 	})
 }
 
-// checkBody refuses a version whose body nodes could not apply.
-func (p *Publisher) checkBody(ctx context.Context, profile string, v accepter.Version) error {
-	b, err := p.store.Get(ctx, storer.BodyKey(profile, v.Digest.String()))
-	if err != nil {
-		return err
-	}
-	if _, err := encoder.Verify(b.Data, v.Digest); err != nil {
-		return judge.Wrap(err, judge.Invalid, judge.NotRun, "version %d of profile %q", v.Number, profile)
-	}
-	return nil
-}
-
 // Withdraw takes a profile out of force. Its services move to fallback.
 func (p *Publisher) Withdraw(ctx context.Context, profile, fallback, id string) (accepter.Operation, error) {
 	return p.change(ctx, accepter.Operation{
@@ -205,12 +237,8 @@
 	if !ok {
 		return router.Profile{}, v, judge.Error(judge.NotFound, judge.NotRun, "version %d of profile %q is not published", version, name)
 	}
-	b, err := p.store.Get(ctx, storer.BodyKey(name, v.Digest.String()))
-	if err != nil {
-		return router.Profile{}, v, err
-	}
-	f, err := encoder.Verify(b.Data, v.Digest)
-	return f, v, err
+	f, err := p.body(ctx, name, v.Digest)
+	return f.Profile, v, err
 }
 
 func (p *Publisher) catalog(ctx context.Context, profile string) (accepter.Catalog, uint64, error) {
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -280,7 +280,7 @@
 	}
 	for _, n := range []uint64{1, 0} {
 		f, v, err := p.Profile(t.Context(), profileName(0), n)
-		if err != nil || encoder.DigestProfile(f) != v.Digest {
+		if err != nil || encoder.Seal(f).Digest != v.Digest {
 			t.Errorf("version %d: %v", n, err)
 		}
 	}
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -84,19 +84,40 @@
 		if e.Withdrawn() || (p != nil && p.Digest == e.Digest) {
 			continue
 		}
-		v, err := r.store.Get(ctx, storer.BodyKey(e.Profile, e.Digest.String()))
+		f, err := r.body(ctx, e, p)
 		if err != nil {
 			return nil, err
 		}
-		f, err := encoder.Verify(v.Data, e.Digest)
-		if err != nil {
-			return nil, err
-		}
-		l = append(l, holder.NewProfile(f, e.Digest))
+		l = append(l, holder.NewProfile(f))
 	}
 	return l, nil
 }
 
+// body reads one body: by the stored delta where it fits what is held, and
+// whole otherwise.
+func (r *Relayer) body(ctx context.Context, e accepter.Entry, held *holder.Profile) (encoder.Sealed, error) {
+	if held != nil {
+		f, err := r.patch(ctx, e, held.Sealed)
+		if err == nil {
+			return f, nil
+		}
+		klog.V(1).Infof(logPrefix+"No delta of %s fits: %v", e.Profile, err)
+	}
+	v, err := r.store.Get(ctx, storer.BodyKey(e.Profile, e.Digest.String()))
+	if err != nil {
+		return encoder.Sealed{}, err
+	}
+	return encoder.Verify(v.Data, e.Digest)
+}
+
+func (r *Relayer) patch(ctx context.Context, e accepter.Entry, held encoder.Sealed) (encoder.Sealed, error) {
+	v, err := r.store.Get(ctx, storer.DeltaKey(e.Profile, held.Digest.String(), e.Digest.String()))
+	if err != nil {
+		return encoder.Sealed{}, err
+	}
+	return held.Patch(v.Data, e.Digest)
+}
+
 // repair writes back what was accepted before the store went back to older
 // data. Operations that the store accepted since are kept on top.
 func (r *Relayer) repair(ctx context.Context, c *holder.Snapshot, s accepter.State, revision uint64) error {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -72,8 +72,9 @@
 }
 
 // New opens the sockets of a node and puts its parts together.
-func New(s configurer.Settings, store storer.Store) (*Node, error) {
+func New(s configurer.Settings) (*Node, error) {
 	n := &Node{settings: s, started: time.Now()}
+	store := storer.NewClient(s.StoreAddress, &n.control)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -12,6 +12,7 @@
 	"github.com/go-resty/resty/v2"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 )
 
 const (
@@ -28,10 +29,11 @@
 	timeout time.Duration
 }
 
-// NewClient returns a client for the store at address, a host with port.
-func NewClient(address string) *Client {
+// NewClient returns a client for the store at address, a host with port, whose
+// bytes m counts.
+func NewClient(address string, m *meter.Traffic) *Client {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         m.Dialer(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -61,6 +61,9 @@
 	// CatalogPrefix holds a catalog for each profile.
 	CatalogPrefix = "catalogs/"
 	bodyPrefix    = "bodies/"
+	deltaPrefix   = "deltas/"
+	// digestLength is how much of a digest is used in the key of a delta.
+	digestLength = 16
 )
 
 // CatalogKey is the key of a profile's catalog.
@@ -68,6 +71,16 @@
 	return CatalogPrefix + profile
 }
 
+// DeltaPrefix is the start of the keys of deltas that lead to a body.
+func DeltaPrefix(profile, digest string) string {
+	return deltaPrefix + profile + "/" + digest[:digestLength] + "/"
+}
+
+// DeltaKey is the key of the delta that leads from one body to another.
+func DeltaKey(profile, base, digest string) string {
+	return DeltaPrefix(profile, digest) + base[:digestLength]
+}
+
 // BodyKey is the key of an immutable profile body.
 func BodyKey(profile, digest string) string {
 	return bodyPrefix + profile + "/" + digest
--- a/internal/syncer/answer.go
+++ b/internal/syncer/answer.go
@@ -55,18 +55,15 @@
 // composeBody sends a delta where that is the shorter form.
 func composeBody(base, target *holder.Profile) *messenger.Body {
 	b := &messenger.Body{Profile: target.Name, Digest: target.Digest[:]}
-	w := encoder.EncodeProfile(target.Profile)
-	if base == nil {
-		b.Whole = w
-		return b
-	}
-	d := encoder.EncodeDelta(encoder.Diff(base.Profile, target.Profile))
-	if len(d) >= len(w) {
-		b.Whole = w
-		return b
-	}
-	b.BaseDigest = base.Digest[:]
-	b.Delta = d
+	if base != nil {
+		d := encoder.Diff(base.Sealed, target.Sealed)
+		if d.Len() < len(target.Services)+len(target.Routes) {
+			b.BaseDigest = base.Digest[:]
+			b.Delta = encoder.EncodeDelta(d)
+			return b
+		}
+	}
+	b.Whole = encoder.EncodeProfile(target.Profile)
 	return b
 }
 
@@ -140,15 +137,20 @@
 		return nil, fmt.Errorf("syncer: body of %s: %w", b.GetProfile(), err)
 	}
 	if len(b.GetWhole()) > 0 {
-		p, err := encoder.Verify(b.GetWhole(), d)
-		return holder.NewProfile(p, d), err
+		return compile(encoder.Verify(b.GetWhole(), d))
 	}
 	o := base.Profile(b.GetProfile())
 	if o == nil || string(o.Digest[:]) != string(b.GetBaseDigest()) {
 		return nil, fmt.Errorf("syncer: body of %s: the base of the delta is not held", b.GetProfile())
 	}
-	p, err := encoder.Patch(o.Profile, b.GetDelta(), d)
-	return holder.NewProfile(p, d), err
+	return compile(o.Sealed.Patch(b.GetDelta(), d))
+}
+
+func compile(s encoder.Sealed, err error) (*holder.Profile, error) {
+	if err != nil {
+		return nil, err
+	}
+	return holder.NewProfile(s), nil
 }
 
 func writeEntry(e accepter.Entry) *messenger.Entry {
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
@@ -19,6 +20,8 @@
 	MaxRoutes       = 8192
 	MaxDestinations = 16
 	MaxWeight       = 1000
+
+	maxNameLength = 63
 )
 
 // Descriptions of accepted values, for problems.
@@ -31,7 +34,6 @@
 )
 
 var (
-	namePattern   = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$`)
 	methodPattern = regexp.MustCompile(`^[A-Z]{1,20}$`)
 	headerPattern = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}$")
@@ -39,36 +41,68 @@
 
 // Name reports whether s can name a profile, service, route or node.
 func Name(s string) bool {
-	return namePattern.MatchString(s)
+	if s == "" || len(s) > maxNameLength || s[0] < 'a' || s[0] > 'z' {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// place is a path into a profile, written out only for a problem.
+type place struct {
+	list  string
+	index int
+	field string
+}
+
+func (p place) at(field string) place {
+	p.field = field
+	return p
+}
+
+// String returns the path, such as "routes[2].name".
+func (p place) String() string {
+	return fmt.Sprintf("%s[%d].%s", p.list, p.index, p.field)
 }
 
 // Check adds every inconsistency of p to r. Paths use the order of p's lists.
 func Check(p router.Profile, r *parser.Report) {
-	c := checker{profile: p, report: r, services: make(map[string]router.Service)}
-	c.name("name", p.Name)
+	c := checker{report: r, services: make(map[string]string, len(p.Services))}
+	if p.Name != "" && !Name(p.Name) {
+		r.Add("name", p.Name, NameRule)
+	}
 	c.size("services", len(p.Services), MaxServices)
 	c.size("routes", len(p.Routes), MaxRoutes)
 	for i, s := range p.Services {
-		c.service(fmt.Sprintf("services[%d]", i), s)
+		c.service(place{list: "services", index: i}, s)
 	}
 	for i, s := range p.Services {
-		c.fallback(fmt.Sprintf("services[%d].fallback", i), s)
+		c.fallback(place{list: "services", index: i, field: "fallback"}, s)
 	}
-	n := make(map[string]bool)
+	n := make(map[string]bool, len(p.Routes))
 	for i, t := range p.Routes {
-		c.route(fmt.Sprintf("routes[%d]", i), t, n)
+		c.route(place{list: "routes", index: i}, t, n)
 	}
 }
 
+// checker knows the fallback of each service.
 type checker struct {
-	profile  router.Profile
 	report   *parser.Report
-	services map[string]router.Service
+	services map[string]string
+}
+
+func (c checker) add(p place, value any, expected string) {
+	c.report.Add(p.String(), value, expected)
 }
 
-func (c checker) name(path, name string) {
+func (c checker) name(p place, name string) {
 	if name != "" && !Name(name) {
-		c.report.Add(path, name, NameRule)
+		c.add(p, name, NameRule)
 	}
 }
 
@@ -78,88 +112,92 @@
 	}
 }
 
-func (c checker) service(path string, s router.Service) {
-	c.name(path+".name", s.Name)
+func (c checker) service(p place, s router.Service) {
+	c.name(p.at("name"), s.Name)
 	if _, ok := c.services[s.Name]; ok {
-		c.report.Add(path+".name", s.Name, "a name that no other service has")
+		c.add(p.at("name"), s.Name, "a name that no other service has")
 	}
-	c.services[s.Name] = s
+	c.services[s.Name] = s.Fallback
 }
 
-func (c checker) fallback(path string, s router.Service) {
+func (c checker) fallback(p place, s router.Service) {
 	if s.Fallback == "" {
 		return
 	}
 	if _, ok := c.services[s.Fallback]; !ok {
-		c.report.Add(path, s.Fallback, "a service of this profile")
+		c.add(p, s.Fallback, "a service of this profile")
 		return
 	}
 	seen := map[string]bool{s.Name: true}
-	for f := s.Fallback; f != ""; f = c.services[f].Fallback {
+	for f := s.Fallback; f != ""; f = c.services[f] {
 		if seen[f] {
-			c.report.Add(path, s.Fallback, "a fallback that does not lead back to the service")
+			c.add(p, s.Fallback, "a fallback that does not lead back to the service")
 			return
 		}
 		seen[f] = true
 	}
 }
 
-func (c checker) route(path string, t router.Route, names map[string]bool) {
-	c.name(path+".name", t.Name)
+func (c checker) route(p place, t router.Route, names map[string]bool) {
+	c.name(p.at("name"), t.Name)
 	if names[t.Name] {
-		c.report.Add(path+".name", t.Name, "a name that no other route has")
+		c.add(p.at("name"), t.Name, "a name that no other route has")
 	}
 	names[t.Name] = true
 	if t.PathPrefix != "" && !validPrefix(t.PathPrefix) {
-		c.report.Add(path+".path_prefix", t.PathPrefix, prefixRule)
+		c.add(p.at("path_prefix"), t.PathPrefix, prefixRule)
 	}
-	c.each(path+".hosts", t.Hosts, hostPattern, hostRule)
-	c.each(path+".methods", t.Methods, methodPattern, methodRule)
+	c.each(p.at("hosts"), t.Hosts, hostPattern, hostRule)
+	c.each(p.at("methods"), t.Methods, methodPattern, methodRule)
 	for i, h := range t.Headers {
 		if h.Name != "" && !headerPattern.MatchString(h.Name) {
-			c.report.Add(fmt.Sprintf("%s.headers[%d].name", path, i), h.Name, headerRule)
+			c.add(p.at(fmt.Sprintf("headers[%d].name", i)), h.Name, headerRule)
 		}
 	}
-	c.destinations(path+".destinations", t.Destinations)
+	c.destinations(p, t.Destinations)
 }
 
-func (c checker) each(path string, list []string, pattern *regexp.Regexp, rule string) {
-	seen := make(map[string]bool)
+func (c checker) each(p place, list []string, pattern *regexp.Regexp, rule string) {
 	for i, s := range list {
-		p := fmt.Sprintf("%s[%d]", path, i)
+		q := p.at(fmt.Sprintf("%s[%d]", p.field, i))
 		if !pattern.MatchString(s) {
-			c.report.Add(p, s, rule)
+			c.add(q, s, rule)
 		}
-		if seen[s] {
-			c.report.Add(p, s, "each value only once")
+		if slices.Contains(list[:i], s) {
+			c.add(q, s, "each value only once")
 		}
-		seen[s] = true
 	}
 }
 
-func (c checker) destinations(path string, list []router.Destination) {
+func (c checker) destinations(p place, list []router.Destination) {
 	if len(list) == 0 || len(list) > MaxDestinations {
-		c.report.Add(path, fmt.Sprintf("%d entries", len(list)), fmt.Sprintf("1 to %d entries", MaxDestinations))
+		c.add(p.at("destinations"), fmt.Sprintf("%d entries", len(list)), fmt.Sprintf("1 to %d entries", MaxDestinations))
 		return
 	}
 	s := 0
-	seen := make(map[string]bool)
 	for i, d := range list {
-		p := fmt.Sprintf("%s[%d].service", path, i)
-		if _, ok := c.services[d.Service]; !ok && d.Service != "" {
-			c.report.Add(p, d.Service, "a service of this profile")
-		}
-		if seen[d.Service] {
-			c.report.Add(p, d.Service, "each service only once")
-		}
-		seen[d.Service] = true
+		c.destination(p, list, i)
 		s += d.Weight
 	}
 	if s == 0 {
-		c.report.Add(path, "only weights of 0", "at least one weight above 0")
+		c.add(p.at("destinations"), "only weights of 0", "at least one weight above 0")
+	}
+}
+
+func (c checker) destination(p place, list []router.Destination, i int) {
+	d := list[i]
+	_, ok := c.services[d.Service]
+	if !ok && d.Service != "" {
+		c.add(p.at(fmt.Sprintf("destinations[%d].service", i)), d.Service, "a service of this profile")
+	}
+	for _, o := range list[:i] {
+		if o.Service == d.Service {
+			c.add(p.at(fmt.Sprintf("destinations[%d].service", i)), d.Service, "each service only once")
+		}
 	}
 }
 
+// validPrefix walks through the segments of a path.
 func validPrefix(s string) bool {
 	if s == "/" {
 		return true
@@ -167,7 +205,7 @@
 	if !strings.HasPrefix(s, "/") {
 		return false
 	}
-	for _, p := range strings.Split(strings.TrimSuffix(s[1:], "/"), "/") {
+	for p := range strings.SplitSeq(strings.TrimSuffix(s[1:], "/"), "/") {
 		if p == "" || p == "." || p == ".." {
 			return false
 		}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -335,9 +335,9 @@
 		c := exec.Command(f[0], f[1:]...)
 		c.Env = append(os.Environ(), "DRAGONFLYDOOR_STORE="+ts.Getenv("DRAGONFLYDOOR_STORE"))
 		b, err := c.CombinedOutput()
-		if err != nil || !strings.Contains(string(b), args[2]) {
-			return fmt.Errorf("%s: %v: %q is not in:\n%s", args[1], err, args[2], b)
+		if !strings.Contains(string(b), args[2]) {
+			return fmt.Errorf("%s: %q is not in:\n%s: %w", args[1], args[2], b, errors.Join(err))
 		}
-		return nil
+		return err
 	}))
 }
