Run a request with an idempotency key at most once

Cause: the system never repeats an unsafe request by itself, but a caller that sends one again had no protection. Weighed: a record in the store for each key (a write a request, and no bookings while the store is down), owner records as in the SIP paper (the same writes), and a home by rendezvous hash with the outcome in memory. The last is built: a home answers a repeated key with the first answer, and says 'may have run' where an earlier home may know better.

Scenario resend: eight callers racing through three nodes run once; homes, targets and their nodes are killed and paused; no key ran twice. Left: a new home could learn from the others what they ran; a caller that sends again through the other side of a partition of homes is not covered.

--- /dev/null
+++ b/internal/deduplicator/key.go
@@ -0,0 +1,61 @@
+package deduplicator
+
+import (
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+)
+
+const (
+	uuidLength  = 36
+	uuidVersion = 7
+	// maxAhead is how far in the future a key's time may lie.
+	maxAhead = time.Hour
+)
+
+// madeAt returns the time in a UUID of version 7 (RFC 9562, section 5.7).
+func madeAt(key string) (time.Time, bool) {
+	if len(key) != uuidLength {
+		return time.Time{}, false
+	}
+	b, err := hex.DecodeString(strings.ReplaceAll(key, "-", ""))
+	if err != nil || len(b) != 16 || b[6]>>4 != uuidVersion {
+		return time.Time{}, false
+	}
+	var ms int64
+	for _, c := range b[:6] {
+		ms = ms<<8 | int64(c)
+	}
+	m := time.UnixMilli(ms)
+	// A time far ahead is no time at all.
+	return m, m.Before(time.Now().Add(maxAhead))
+}
+
+// Home returns the home of a key among the nodes of a service, and the time
+// since which it is: the latest loss of a node that went before it.
+func Home(v *gossiper.View, service, key string) (gossiper.Member, time.Time, bool) {
+	var h gossiper.Member
+	var best uint64
+	for _, m := range v.Homes(service) {
+		if r := rank(m.Node, key); h.Node == "" || r > best {
+			h = m
+			best = r
+		}
+	}
+	if h.Node == "" {
+		return h, time.Time{}, false
+	}
+	var s time.Time
+	for n, t := range v.Lost(service) {
+		if rank(n, key) > best && t.After(s) {
+			s = t
+		}
+	}
+	return h, s, true
+}
+
+func rank(node, key string) uint64 {
+	return gossiper.HashNode(node + "\x00" + key)
+}
--- a/internal/encoder/profile.go
+++ b/internal/encoder/profile.go
@@ -35,6 +35,9 @@
 	defaultBodyBytes     = 1 << 20
 	maxBodyBytes         = 1 << 40
 	defaultWeight        = 1
+	defaultKeyWindow     = 2 * time.Minute
+	minKeyWindow         = time.Second
+	maxKeyWindow         = 24 * time.Hour
 )
 
 // The wire forms. Field order is the canonical order.
@@ -46,11 +49,12 @@
 		Routes      []routeJSON   `json:"routes"`
 	}
 	serviceJSON struct {
-		Name     string     `json:"name"`
-		Timeout  string     `json:"timeout"`
-		Retry    retryJSON  `json:"retry"`
-		Limits   limitsJSON `json:"limits"`
-		Fallback string     `json:"fallback,omitempty"`
+		Name      string     `json:"name"`
+		Timeout   string     `json:"timeout"`
+		Retry     retryJSON  `json:"retry"`
+		Limits    limitsJSON `json:"limits"`
+		KeyWindow string     `json:"key_window"`
+		Fallback  string     `json:"fallback,omitempty"`
 	}
 	retryJSON struct {
 		MaxAttempts   int `json:"max_attempts"`
@@ -121,11 +125,12 @@
 
 func readService(o *parser.Object) router.Service {
 	s := router.Service{
-		Name:     o.Required("name", validator.NameRule),
-		Timeout:  o.Duration("timeout", defaultTimeout, minTimeout, maxTimeout),
-		Retry:    readRetry(o.Object("retry")),
-		Limits:   readLimits(o.Object("limits")),
-		Fallback: o.Text("fallback"),
+		Name:      o.Required("name", validator.NameRule),
+		Timeout:   o.Duration("timeout", defaultTimeout, minTimeout, maxTimeout),
+		Retry:     readRetry(o.Object("retry")),
+		Limits:    readLimits(o.Object("limits")),
+		KeyWindow: o.Duration("key_window", defaultKeyWindow, minKeyWindow, maxKeyWindow),
+		Fallback:  o.Text("fallback"),
 	}
 	o.Close()
 	return s
@@ -232,7 +237,8 @@
 			Queue:        s.Limits.Queue,
 			MaxBodyBytes: s.Limits.MaxBodyBytes,
 		},
-		Fallback: s.Fallback,
+		KeyWindow: s.KeyWindow.String(),
+		Fallback:  s.Fallback,
 	}
 }
 
--- a/internal/encoder/profile_test.go
+++ b/internal/encoder/profile_test.go
@@ -101,10 +101,11 @@
 	s := names(t, label+" services")
 	for _, n := range s {
 		p = p.WithService(router.Service{
-			Name:    n,
-			Timeout: time.Duration(rapid.IntRange(1, 5000).Draw(t, label+" timeout")) * time.Millisecond,
-			Retry:   router.RetryPolicy{MaxAttempts: rapid.IntRange(1, 10).Draw(t, label+" attempts"), BudgetPercent: 20},
-			Limits:  router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+			Name:      n,
+			Timeout:   time.Duration(rapid.IntRange(1, 5000).Draw(t, label+" timeout")) * time.Millisecond,
+			Retry:     router.RetryPolicy{MaxAttempts: rapid.IntRange(1, 10).Draw(t, label+" attempts"), BudgetPercent: 20},
+			Limits:    router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+			KeyWindow: 2 * time.Minute,
 		})
 	}
 	for _, n := range names(t, label+" routes") {
--- a/internal/encoder/sealed_bench_test.go
+++ b/internal/encoder/sealed_bench_test.go
@@ -15,8 +15,9 @@
 		n := fmt.Sprintf("service-%04d", i)
 		p.Services = append(p.Services, router.Service{
 			Name: n, Timeout: time.Second,
-			Retry:  router.RetryPolicy{MaxAttempts: 2, BudgetPercent: 20},
-			Limits: router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+			Retry:     router.RetryPolicy{MaxAttempts: 2, BudgetPercent: 20},
+			Limits:    router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+			KeyWindow: 2 * time.Minute,
 		})
 		p.Routes = append(p.Routes, router.Route{
 			Name: fmt.Sprintf("route-%04d", i), PathPrefix: "/" + n,
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/balancer"
+	"github.com/dragonflydoor/dragonflydoor/internal/deduplicator"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
@@ -38,6 +39,8 @@
 	transport http.RoundTripper
 	balancer  balancer.Balancer
 	budget    retrier.Budget
+	keys      deduplicator.Table[*answer]
+	trusted   func(service string) time.Time
 	stats     *Stats
 
 	node       string
@@ -53,11 +56,21 @@
 	Profile    string
 }
 
+// Mesh is what an entry knows of the other nodes.
+type Mesh interface {
+	// View returns the mesh as it is known now.
+	View() *gossiper.View
+	// Trusted returns since when the others have taken this node for a home of
+	// a service's keys.
+	Trusted(service string) time.Time
+}
+
 // NewEntry returns an entry that reaches other nodes through t.
-func NewEntry(h *holder.Holder, view func() *gossiper.View, g *Gate, t http.RoundTripper, s *Stats, w Where) *Entry {
+func NewEntry(h *holder.Holder, m Mesh, g *Gate, t http.RoundTripper, s *Stats, w Where) *Entry {
 	e := &Entry{
 		holder:     h,
-		view:       view,
+		view:       m.View,
+		trusted:    m.Trusted,
 		gate:       g,
 		transport:  t,
 		stats:      s,
@@ -99,21 +112,25 @@
 	deadline time.Time
 	tried    map[string]bool
 	// ran says that an attempt may have run.
-	ran            bool
-	fingerprintSum quarantiner.Fingerprint
+	ran   bool
+	print quarantiner.Fingerprint
+	// key is the caller's idempotency key, empty when the request may be
+	// repeated anyway.
+	key string
+	ctx context.Context
 }
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.stats.Requests.Add(1)
-	j := &job{request: r, id: requestID(r.Header), tried: make(map[string]bool)}
+	j := newJob(r)
 	w.Header().Set(RequestHeader, j.id)
 	if f, ok := e.prepare(w, j); !ok {
 		e.refuse(w, j, f)
 		return
 	}
 	w.Header().Set(ProfileHeader, j.profile.Name+"@"+j.profile.Digest.Short())
-	a, err := e.run(j)
+	a, err := e.runKeyed(j)
 	if err != nil {
 		e.refuse(w, j, refusalOf(err))
 		return
@@ -125,6 +142,10 @@
 	}
 }
 
+func newJob(r *http.Request) *job {
+	return &job{request: r, ctx: r.Context(), id: requestID(r.Header), tried: make(map[string]bool)}
+}
+
 func (e *Entry) refuse(w http.ResponseWriter, j *job, f Refusal) {
 	f.Request = j.id
 	if f.Reason == Draining {
@@ -151,11 +172,14 @@
 	if !j.findRoute() {
 		return notRun(NoRoute, "no route of profile %q matches", j.profile.Name), false
 	}
+	if !j.findKey() {
+		return notRun(BadRequest, "%s has more than %d bytes", KeyHeader, maxKeyBytes), false
+	}
 	j.setDeadline(time.Now())
 	if f, ok := j.readBody(w); !ok {
 		return f, false
 	}
-	if e.gate.warden.Blocked(j.fingerprintSum) {
+	if e.gate.warden.Blocked(j.print) {
 		return refusalOf(quarantined()), false
 	}
 	return Refusal{}, true
@@ -208,7 +232,7 @@
 		return notRun(BadRequest, "the body could not be read: %v", err), false
 	}
 	j.body = b
-	j.fingerprintSum = j.fingerprint()
+	j.print = j.fingerprint()
 	return Refusal{}, true
 }
 
@@ -250,7 +274,7 @@
 	if judge.Is(err, errCrashed) || judge.Is(err, errQuarantined) {
 		return false
 	}
-	if judge.Is(err, errNoTarget) || j.request.Context().Err() != nil || !time.Now().Before(j.deadline) {
+	if judge.Is(err, errNoTarget) || j.ctx.Err() != nil || !time.Now().Before(j.deadline) {
 		return false
 	}
 	if j.request.Header.Get(RetryHeader) != "" {
@@ -271,7 +295,7 @@
 	}
 	j.tried[p.Address] = true
 	end := e.balancer.Start(p, time.Now())
-	ctx, release, cancel := limitUntilAnswer(j.request.Context(), j.deadline)
+	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
 	a, err := e.exchange(ctx, j, p, n)
 	end(outcomeOf(err), time.Now())
 	if err != nil {
@@ -348,7 +372,7 @@
 		service:     p.Service,
 		target:      p.Address,
 		deadline:    j.deadline,
-		fingerprint: j.fingerprintSum,
+		fingerprint: j.print,
 	}
 }
 
@@ -380,23 +404,8 @@
 func gateError(r *http.Response, p gossiper.Endpoint) error {
 	defer func() { _ = r.Body.Close() }()
 	v := judge.Parse(r.Header.Get(gateVerdictHeader))
-	t := judge.Interrupted
-	switch Reason(r.Header.Get(gateReasonHeader)) {
-	case Overloaded:
-		t = judge.Overloaded
-	case Draining:
-		t = judge.Unavailable
-	case NoTarget:
-		t = judge.NotFound
-	case DeadlinePast:
-		t = judge.TimedOut
-	case Crashed:
-		t = errCrashed
-	case Quarantined:
-		t = errQuarantined
-	case BadRequest, TooLarge, NoRoute, NoProfile, Broken:
-	}
-	return judge.Error(t, v, "target %s of node %s: %s", p.Address, p.Node, r.Header.Get(gateReasonHeader))
+	w := Reason(r.Header.Get(gateReasonHeader))
+	return judge.Error(kindOf(w), v, "target %s of node %s: %s", p.Address, p.Node, w)
 }
 
 func outcomeOf(err error) balancer.Outcome {
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -168,7 +168,7 @@
 
 // ServeHTTP takes a call from another node.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := g.accept(r)
+	c := g.accept(r, GatePath)
 	w.Header().Set(RequestHeader, c.request)
 	a, err := g.do(r.Context(), c)
 	if err != nil {
@@ -185,11 +185,11 @@
 	}
 }
 
-// accept reads a call that another node made of a request.
-func (g *Gate) accept(r *http.Request) call {
+// accept reads a call that another node made of a request, below a prefix.
+func (g *Gate) accept(r *http.Request, prefix string) call {
 	u := *r.URL
-	u.Path = strings.TrimPrefix(u.Path, GatePath)
-	u.RawPath = strings.TrimPrefix(u.RawPath, GatePath)
+	u.Path = strings.TrimPrefix(u.Path, prefix)
+	u.RawPath = strings.TrimPrefix(u.RawPath, prefix)
 	h := r.Header.Clone()
 	c := call{
 		method:      r.Method,
@@ -210,6 +210,7 @@
 	h.Del(gateServiceHeader)
 	h.Del(gateTargetHeader)
 	h.Del(gateFingerprintHeader)
+	h.Del(gateProfileHeader)
 	return c
 }
 
--- a/internal/forwarder/header.go
+++ b/internal/forwarder/header.go
@@ -24,10 +24,17 @@
 	// further down do not repeat it again.
 	RetryHeader = "Dragonflydoor-Retry"
 
+	// KeyHeader is the caller's idempotency key: requests with the same key run
+	// at most once (IETF draft "The Idempotency-Key HTTP Header Field").
+	KeyHeader = "Idempotency-Key"
+	// ReplayedHeader marks an answer that was given before.
+	ReplayedHeader = "Dragonflydoor-Replayed"
+
 	// The headers below are only used between nodes.
 	gateServiceHeader     = "Dragonflydoor-Gate-Service"
 	gateTargetHeader      = "Dragonflydoor-Gate-Target"
 	gateFingerprintHeader = "Dragonflydoor-Gate-Fingerprint"
+	gateProfileHeader     = "Dragonflydoor-Gate-Profile"
 	gateVerdictHeader     = "Dragonflydoor-Gate-Verdict"
 	gateReasonHeader      = "Dragonflydoor-Gate-Reason"
 
--- /dev/null
+++ b/internal/forwarder/keyed.go
@@ -0,0 +1,241 @@
+package forwarder
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/deduplicator"
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
+)
+
+const (
+	// HomePath is the prefix of keyed requests on the peer address of the
+	// key's home.
+	HomePath = "/home"
+
+	maxKeyBytes = 255
+	// homeTries and homePause bound the search for a home that agrees, while
+	// the membership changes.
+	homeTries = 4
+	homePause = 50 * time.Millisecond
+)
+
+var (
+	errNotHome      = judge.Unavailable.NewSubtype("not_home")
+	errKeyUncertain = judge.Interrupted.NewSubtype("key_uncertain")
+	errKeyMismatch  = judge.Invalid.NewSubtype("key_mismatch")
+)
+
+// findKey notes the idempotency key of a request that must not run twice. It
+// returns false if the key is too long.
+func (j *job) findKey() bool {
+	if j.route.Idempotent || retrier.SafeMethod(j.request.Method) {
+		return true
+	}
+	j.key = j.request.Header.Get(KeyHeader)
+	return len(j.key) <= maxKeyBytes
+}
+
+// runKeyed runs a request at the home of its key, or here if it has none.
+func (e *Entry) runKeyed(j *job) (*answer, error) {
+	if j.key == "" {
+		return e.run(j)
+	}
+	var err error
+	for n := range homeTries {
+		var a *answer
+		a, err = e.tryHome(j)
+		if err == nil || judge.Of(err) != judge.NotRun || !judge.Is(err, errNotHome) || !j.body.replayable() {
+			return a, err
+		}
+		if !sleep(j.ctx, homePause<<n) {
+			break
+		}
+	}
+	return nil, err
+}
+
+func (e *Entry) tryHome(j *job) (*answer, error) {
+	h, since, ok := deduplicator.Home(e.view(), j.service.Name, j.key)
+	if !ok {
+		return nil, judge.Error(errNoTarget, judge.NotRun, "service %q has no target", j.service.Name)
+	}
+	if h.Node == e.node {
+		return e.atHome(j, since)
+	}
+	return e.sendHome(j, h)
+}
+
+// sendHome hands a request to the home of its key and brings back the answer.
+func (e *Entry) sendHome(j *job, h gossiper.Member) (*answer, error) {
+	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
+	c := j.call(gossiper.Endpoint{Target: gossiper.Target{Service: j.service.Name}}, 1)
+	c.header.Set(gateServiceHeader, c.service)
+	c.header.Set(gateProfileHeader, j.profile.Name)
+	c.header.Set(DeadlineHeader, formatLeft(c.deadline, time.Now()))
+	var f flight
+	r, err := e.transport.RoundTrip(c.newRequest(f.trace(ctx), h.PeerAddress, HomePath))
+	if err != nil {
+		defer cancel()
+		v := f.sharedVerdict()
+		if v == judge.NotRun && ctx.Err() == nil {
+			return nil, judge.Wrap(err, errNotHome, v, "home %s", h.Node)
+		}
+		return nil, classify(ctx, err, v, "home "+h.Node)
+	}
+	a, err := e.readHome(ctx, r, h, c)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	release()
+	return a.closing(cancel), nil
+}
+
+func (e *Entry) readHome(ctx context.Context, r *http.Response, h gossiper.Member, c call) (*answer, error) {
+	if id := r.Header.Get(RequestHeader); id != c.request {
+		_ = r.Body.Close()
+		return nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "home %s answered request %q instead", h.Node, id)
+	}
+	if r.Header.Get(gateVerdictHeader) != "" {
+		return nil, gateError(r, gossiper.Endpoint{Node: h.Node})
+	}
+	p := r.Header.Get(ReplayedHeader)
+	a, err := hold(r)
+	if err != nil {
+		return nil, classify(ctx, err, judge.MayHaveRun, "answer of home "+h.Node)
+	}
+	stripOwn(a.header)
+	if p != "" {
+		a.header.Set(ReplayedHeader, p)
+	}
+	return a, nil
+}
+
+// ServeHome takes a keyed request from another node.
+func (e *Entry) ServeHome(w http.ResponseWriter, r *http.Request) {
+	c := e.gate.accept(r, HomePath)
+	w.Header().Set(RequestHeader, c.request)
+	a, err := e.homeRequest(w, r, c)
+	if err != nil {
+		refuseToNode(w, err)
+		return
+	}
+	if err := a.write(w); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Entry) homeRequest(w http.ResponseWriter, r *http.Request, c call) (*answer, error) {
+	j := newJob(r)
+	j.request = r.Clone(r.Context())
+	j.request.URL = c.uri
+	j.request.Header = c.header
+	j.key = c.header.Get(KeyHeader)
+	j.deadline = c.deadline
+	j.profile = e.holder.Current().Serving(r.Header.Get(gateProfileHeader))
+	if j.profile == nil {
+		return nil, judge.Error(errNotHome, judge.NotRun, "profile %q is not in force here", r.Header.Get(gateProfileHeader))
+	}
+	s, ok := j.profile.Service(c.service)
+	if !ok {
+		return nil, judge.Error(errNotHome, judge.NotRun, "service %q is not in force here", c.service)
+	}
+	j.service = s
+	if f, ok := j.readBody(w); !ok {
+		return nil, judge.Error(kindOf(f.Reason), f.Verdict, "%s", f.Message)
+	}
+	h, since, ok := deduplicator.Home(e.view(), s.Name, j.key)
+	if !ok || h.Node != e.node {
+		return nil, judge.Error(errNotHome, judge.NotRun, "node %s is not home to the key", e.node)
+	}
+	return e.atHome(j, since)
+}
+
+// atHome runs a keyed request unless it has run, or may have.
+func (e *Entry) atHome(j *job, since time.Time) (*answer, error) {
+	if t := e.trusted(j.service.Name); t.After(since) {
+		since = t
+	}
+	u := deduplicator.Use{
+		Key:     j.service.Name + "\x00" + j.key,
+		Caller:  j.key,
+		Request: j.requestHash(),
+		Since:   since,
+		Window:  j.service.KeyWindow,
+	}
+	c, s := e.keys.Begin(u, time.Now())
+	switch s {
+	case deduplicator.First:
+		return e.runFirst(j, u, c)
+	case deduplicator.Running, deduplicator.Done:
+		return replay(j, c)
+	case deduplicator.Mismatch:
+		return nil, judge.Error(errKeyMismatch, judge.NotRun, "the key was used with another request")
+	case deduplicator.Uncertain:
+		return nil, judge.Error(errKeyUncertain, judge.MayHaveRun, "the key's home has changed, an earlier one may have run the request")
+	default:
+		return nil, judge.Error(judge.Overloaded, judge.NotRun, "too many idempotency keys")
+	}
+}
+
+// runFirst runs a request whose key is new. It goes on when the caller leaves,
+// so that the caller finds the answer when it sends the request again.
+func (e *Entry) runFirst(j *job, u deduplicator.Use, c *deduplicator.Claim[*answer]) (*answer, error) {
+	if j.body.rest == nil {
+		j.ctx = context.WithoutCancel(j.ctx)
+	}
+	a, err := e.run(j)
+	if err == nil && a.rest != nil {
+		e.keys.End(u, c, nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "the request has run; its answer was too large to keep"), time.Now())
+		return a, nil
+	}
+	e.keys.End(u, c, a, err, time.Now())
+	return a, err
+}
+
+// replay waits for the end of a request and returns its answer again.
+func replay(j *job, c *deduplicator.Claim[*answer]) (*answer, error) {
+	t := time.NewTimer(time.Until(j.deadline))
+	defer t.Stop()
+	select {
+	case <-c.Wait():
+	case <-t.C:
+		return nil, judge.Error(judge.TimedOut, judge.MayHaveRun, "the first request with the key still runs")
+	case <-j.ctx.Done():
+		return nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "the caller left")
+	}
+	a, err := c.Outcome()
+	if err != nil {
+		return nil, err
+	}
+	r := *a
+	r.header = a.header.Clone()
+	r.header.Set(ReplayedHeader, "true")
+	return &r, nil
+}
+
+// requestHash identifies a request, so that its key is not used for another.
+func (j *job) requestHash() uint64 {
+	h := fnv.New64a()
+	add(h, j.request.Method, j.request.URL.RequestURI(), strconv.FormatInt(j.body.length, 10))
+	_, _ = h.Write(j.body.kept)
+	return h.Sum64()
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -27,6 +27,12 @@
 	Crashed Reason = "crashed"
 	// Quarantined means that equal requests have crashed targets.
 	Quarantined Reason = "quarantined"
+	// NotHome means that another node is home to the idempotency key.
+	NotHome Reason = "not_home"
+	// KeyUncertain means that an earlier home may have run the request.
+	KeyUncertain Reason = "key_uncertain"
+	// KeyMismatch means that the key was used with another request.
+	KeyMismatch Reason = "key_mismatch"
 )
 
 // Refusal is the answer to a request that failed.
@@ -59,7 +65,11 @@
 		return http.StatusNotFound
 	case DeadlinePast:
 		return http.StatusGatewayTimeout
-	case NoTarget, NoProfile, Draining, Overloaded, Broken, Crashed, Quarantined:
+	case KeyUncertain:
+		return http.StatusConflict
+	case KeyMismatch:
+		return http.StatusUnprocessableEntity
+	default:
 	}
 	if r.Verdict == judge.NotRun {
 		return http.StatusServiceUnavailable
@@ -89,26 +99,43 @@
 	return Refusal{Reason: reasonOf(err), Verdict: judge.Of(err), Message: messageOf(err)}
 }
 
+// kinds relates errors to reasons, subtypes before their types.
+var kinds = []struct {
+	reason Reason
+	kind   *errorx.Type
+}{
+	{Crashed, errCrashed},
+	{Quarantined, errQuarantined},
+	{NotHome, errNotHome},
+	{KeyUncertain, errKeyUncertain},
+	{KeyMismatch, errKeyMismatch},
+	{Overloaded, judge.Overloaded},
+	{DeadlinePast, judge.TimedOut},
+	{Draining, judge.Unavailable},
+	{NoTarget, judge.NotFound},
+	{BadRequest, judge.Invalid},
+	{Broken, judge.Interrupted},
+}
+
 func reasonOf(err error) Reason {
-	switch {
-	case judge.Is(err, errCrashed):
-		return Crashed
-	case judge.Is(err, errQuarantined):
-		return Quarantined
-	case judge.Is(err, judge.Overloaded):
-		return Overloaded
-	case judge.Is(err, judge.TimedOut):
-		return DeadlinePast
-	case judge.Is(err, judge.Unavailable):
-		return Draining
-	case judge.Is(err, judge.NotFound):
-		return NoTarget
-	case judge.Is(err, judge.Invalid):
-		return BadRequest
+	for _, k := range kinds {
+		if judge.Is(err, k.kind) {
+			return k.reason
+		}
 	}
 	return Broken
 }
 
+// kindOf returns the type of errors with a reason.
+func kindOf(r Reason) *errorx.Type {
+	for _, k := range kinds {
+		if k.reason == r {
+			return k.kind
+		}
+	}
+	return judge.Interrupted
+}
+
 func messageOf(err error) string {
 	if x := errorx.Cast(err); x != nil {
 		return x.Message()
--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -69,6 +69,11 @@
 	errands   map[uint64]errand
 	deadlines map[string]time.Time
 
+	// trusted is since when the others have taken this node for alive, and
+	// homeSince since when it has offered to be home to a service's keys.
+	trusted   time.Time
+	homeSince map[string]time.Time
+
 	lastTick  time.Time
 	lastProbe time.Time
 	lastRumor time.Time
@@ -92,6 +97,8 @@
 		probes:     make(map[uint64]probe),
 		errands:    make(map[uint64]errand),
 		deadlines:  make(map[string]time.Time),
+		homeSince:  make(map[string]time.Time),
+		trusted:    now,
 		lastTick:   now,
 		// The first probes of nodes that start together are spread.
 		lastProbe: now.Add(-time.Duration(r.Int64N(int64(probePeriod)))),
@@ -108,6 +115,11 @@
 // Author replaces the node's own record under a new incarnation.
 func (c *Core) Author(m Member, now time.Time) {
 	c.self = m.WithIncarnation(c.self.Incarnation + 1).WithCondition(Alive)
+	for _, s := range m.Homes {
+		if _, ok := c.homeSince[s]; !ok {
+			c.homeSince[s] = now
+		}
+	}
 	c.table.merge(c.self, now)
 	c.queue.put(c.self)
 }
@@ -124,6 +136,16 @@
 	}
 }
 
+// Trusted returns since when the others have taken this node for a home of a
+// service's keys: since it first offered to be, the end of its latest stall,
+// or its latest return from the dead.
+func (c *Core) Trusted(service string) time.Time {
+	if h := c.homeSince[service]; h.After(c.trusted) {
+		return h
+	}
+	return c.trusted
+}
+
 // Best returns the member that was heard of with the highest generation.
 func (c *Core) Best() Hint {
 	return c.best
@@ -179,6 +201,7 @@
 
 // forgive drops everything that ran out while the process stood still.
 func (c *Core) forgive(now time.Time) {
+	c.trusted = now
 	clear(c.probes)
 	clear(c.errands)
 	for n := range c.deadlines {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -86,6 +86,18 @@
 	g.core.Hold(generation, digest)
 }
 
+// Trusted returns since when the others have taken this node for a home of a
+// service's keys. A stall that has just ended counts before it was noticed.
+func (g *Gossiper) Trusted(service string) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if now.Sub(g.core.lastTick) > stallBound {
+		return now
+	}
+	return g.core.Trusted(service)
+}
+
 // Best returns the member heard of with the highest generation.
 func (g *Gossiper) Best() Hint {
 	g.mu.Lock()
--- a/internal/gossiper/member.go
+++ b/internal/gossiper/member.go
@@ -67,6 +67,9 @@
 	Status      Status
 	Relay       bool
 	Targets     []Target
+	// Homes lists the services that had a target beside the node since it
+	// started. The node may be home to their idempotency keys.
+	Homes []string
 }
 
 // WithCondition returns the record with another condition.
@@ -96,6 +99,12 @@
 // WithTargets returns the record with other targets.
 func (m Member) WithTargets(l []Target) Member {
 	m.Targets = slices.Clone(l)
+	m.Homes = slices.Clone(m.Homes)
+	for _, t := range l {
+		if !slices.Contains(m.Homes, t.Service) {
+			m.Homes = append(m.Homes, t.Service)
+		}
+	}
 	return m
 }
 
@@ -104,6 +113,11 @@
 	return m.Condition != Dead && m.Status != Left
 }
 
+// homeOf reports whether the member can be home to the keys of a service.
+func (m Member) homeOf(service string) bool {
+	return m.Usable() && m.Status == Serving && slices.Contains(m.Homes, service)
+}
+
 // supersedes reports whether m goes before o, both of one node. The order is
 // total up to equal records, so that merging commutes.
 func (m Member) supersedes(o Member) bool {
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -123,6 +123,7 @@
 			Condition:   uint32(m.Condition),
 			Status:      uint32(m.Status),
 			Relay:       m.Relay,
+			Homes:       m.Homes,
 		}
 		for _, t := range m.Targets {
 			w.Targets = append(w.Targets, writeTarget(t))
@@ -148,6 +149,7 @@
 			Condition:   readCondition(w.GetCondition()),
 			Status:      Status(min(w.GetStatus(), uint32(Left))),
 			Relay:       w.GetRelay(),
+			Homes:       w.GetHomes(),
 		}
 		for _, t := range w.GetTargets() {
 			m.Targets = append(m.Targets, readTarget(t))
--- a/internal/gossiper/queue.go
+++ b/internal/gossiper/queue.go
@@ -119,5 +119,8 @@
 	for _, t := range m.Targets {
 		s += targetBytes + len(t.Service) + len(t.Address)
 	}
+	for _, h := range m.Homes {
+		s += len(h) + 2
+	}
 	return s
 }
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -130,6 +130,9 @@
 	if incarnation < c.self.Incarnation || (incarnation == c.self.Incarnation && d == Alive) {
 		return
 	}
+	if d == Dead {
+		c.trusted = now
+	}
 	c.self.Incarnation = incarnation
 	c.Author(c.self, now)
 }
--- a/internal/gossiper/table.go
+++ b/internal/gossiper/table.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,8 @@
 	byHash  map[uint64]string
 	buckets [BucketCount]uint64
 	version uint64
+	// lost notes when nodes ceased to be home to a service's keys.
+	lost map[string]map[string]time.Time
 }
 
 // get returns the record of node.
@@ -47,6 +50,7 @@
 	h := HashNode(m.Node)
 	if ok {
 		t.toggle(r)
+		t.noteLosses(r.member, m, now)
 	}
 	n := row{member: m, hash: h, changed: now}
 	t.rows[m.Node] = n
@@ -56,6 +60,25 @@
 	return true
 }
 
+// noteLosses compares two records of one node.
+func (t *table) noteLosses(before, after Member, now time.Time) {
+	for _, s := range before.Homes {
+		if !before.homeOf(s) || after.homeOf(s) {
+			continue
+		}
+		if t.lost == nil {
+			t.lost = make(map[string]map[string]time.Time)
+		}
+		// The map is copied, because views share it.
+		m := maps.Clone(t.lost[s])
+		if m == nil {
+			m = make(map[string]time.Time)
+		}
+		m[before.Node] = now
+		t.lost[s] = m
+	}
+}
+
 // toggle adds a row to its bucket's digest, or takes it out again.
 func (t *table) toggle(r row) {
 	d := mix(r.hash ^ mix(r.member.Incarnation<<2|uint64(r.member.Condition)))
--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 )
 
 // Endpoint is a target with the member that is its gate.
@@ -24,6 +26,8 @@
 
 	services    map[string][]Endpoint
 	dataCenters map[string][]Member
+	homes       map[string][]Member
+	lost        map[string]map[string]time.Time
 }
 
 func newView(t *table) *View {
@@ -32,6 +36,8 @@
 		Version:     t.version,
 		services:    make(map[string][]Endpoint),
 		dataCenters: make(map[string][]Member),
+		homes:       make(map[string][]Member),
+		lost:        maps.Clone(t.lost),
 	}
 	for _, m := range v.Members {
 		if m.Usable() {
@@ -49,6 +55,9 @@
 	if m.Status != Serving {
 		return
 	}
+	for _, s := range m.Homes {
+		v.homes[s] = append(v.homes[s], m)
+	}
 	for _, t := range m.Targets {
 		if t.Draining {
 			continue
@@ -71,6 +80,19 @@
 	return v.services[name]
 }
 
+// Homes returns the nodes that can be home to the keys of a service.
+func (v *View) Homes(service string) []Member {
+	if v == nil {
+		return nil
+	}
+	return v.homes[service]
+}
+
+// Lost returns the nodes that ceased to be home to keys of a service, and when.
+func (v *View) Lost(service string) map[string]time.Time {
+	return v.lost[service]
+}
+
 // DataCenter returns the usable members of a data centre in hash order.
 func (v *View) DataCenter(name string) []Member {
 	if v == nil {
--- a/internal/measurer/convergence.go
+++ b/internal/measurer/convergence.go
@@ -44,10 +44,11 @@
 
 func service(name string, timeout time.Duration) router.Service {
 	return router.Service{
-		Name:    name,
-		Timeout: timeout,
-		Retry:   router.RetryPolicy{MaxAttempts: 2, BudgetPercent: 20},
-		Limits:  router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+		Name:      name,
+		Timeout:   timeout,
+		Retry:     router.RetryPolicy{MaxAttempts: 2, BudgetPercent: 20},
+		Limits:    router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+		KeyWindow: 2 * time.Minute,
 	}
 }
 
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -57,8 +57,9 @@
 func profileBody(i, n int) router.Profile {
 	s := router.Service{
 		Name: "fihris", Timeout: time.Second,
-		Retry:  router.RetryPolicy{MaxAttempts: 2, BudgetPercent: 20},
-		Limits: router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+		Retry:     router.RetryPolicy{MaxAttempts: 2, BudgetPercent: 20},
+		Limits:    router.Limits{Slots: 12, Connections: 110, Queue: 24, MaxBodyBytes: 1 << 20},
+		KeyWindow: 2 * time.Minute,
 	}
 	t := router.Route{Name: "all", PathPrefix: "/", Destinations: []router.Destination{{Service: "fihris", Weight: 1}}}
 	return router.Profile{Name: profileName(i), Description: fmt.Sprint(n)}.WithService(s).WithRoute(t)
--- a/internal/router/profile.go
+++ b/internal/router/profile.go
@@ -30,6 +30,9 @@
 	Timeout time.Duration
 	Retry   RetryPolicy
 	Limits  Limits
+	// KeyWindow is how long callers may send a request with the same
+	// idempotency key again.
+	KeyWindow time.Duration
 	// Fallback names the service that is used while this one has no target.
 	Fallback string
 }
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -128,7 +128,7 @@
 func (n *Node) buildCalls() {
 	n.gate = forwarder.NewGate(&n.registrar, warden{n.gossiper}, &n.calls)
 	w := forwarder.Where{Node: n.settings.Node, DataCenter: n.settings.DataCenter, Profile: n.settings.Profile}
-	n.entry = forwarder.NewEntry(&n.holder, n.gossiper.View, n.gate, connector.NewTransport(&n.calls, n.settings.PeerBindAddress), &n.stats, w)
+	n.entry = forwarder.NewEntry(&n.holder, n.gossiper, n.gate, connector.NewTransport(&n.calls, n.settings.PeerBindAddress), &n.stats, w)
 	n.peer = connector.NewServer(n.peerHandler())
 	n.caller = connector.NewServer(n.entry)
 	n.local = connector.NewServer(n.localHandler())
--- a/internal/runner/peer.go
+++ b/internal/runner/peer.go
@@ -19,6 +19,10 @@
 			n.gate.ServeHTTP(w, r)
 			return
 		}
+		if strings.HasPrefix(r.URL.Path, forwarder.HomePath+"/") {
+			n.entry.ServeHome(w, r)
+			return
+		}
 		m.ServeHTTP(w, r)
 	})
 }
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -42,6 +42,10 @@
 	"raw":        rawCommand,
 	"waitcall":   waitcallCommand,
 	"alive":      aliveCommand,
+	"keyed":      keyedCommand,
+	"resend":     resendCommand,
+	"journal":    journalCommand,
+	"atmost":     atmostCommand,
 }
 
 func check(ts *testscript.TestScript, err error) {
@@ -376,7 +380,7 @@
 }
 
 // backgroundCommand makes a call in the background: background NAME NODE
-// METHOD PATH.
+// METHOD PATH [KEY].
 func backgroundCommand(ts *testscript.TestScript, _ bool, args []string) {
 	m := meshOf(ts)
 	c := make(chan string, 1)
@@ -388,6 +392,10 @@
 			c <- err.Error()
 			return
 		}
+		if len(args) > 4 {
+			q.Header.Set("Idempotency-Key", m.key(args[4]))
+			q.Header.Set("X-Run", args[4])
+		}
 		r, err := (&http.Client{Timeout: time.Minute}).Do(q)
 		if err != nil {
 			c <- fmt.Sprintf("broken: %v", err)
--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +14,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -52,6 +54,8 @@
 	group       grouper.Group
 	load        *load
 	background  map[string]chan string
+	mu          sync.Mutex
+	keys        map[string]string
 	ctx         context.Context
 	cancel      context.CancelFunc
 }
@@ -307,3 +311,9 @@
 		time.Sleep(pollPeriod)
 	}
 }
+
+// newUUID returns a UUID of version 7.
+func newUUID() string {
+	t := uint64(time.Now().UnixMilli())
+	return fmt.Sprintf("%08x-%04x-7%03x-8%03x-%012x", t>>16, t&0xffff, rand.IntN(1<<12), rand.IntN(1<<12), rand.Uint64N(1<<48))
+}
