Make the scenarios able to fail

Cause: trials on a scratch copy took out one guard at a time.

Scripts drew ports from the clock and met on one; they share a counter now. A service without targets is refused as no_target, no longer as draining.

--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -111,8 +111,9 @@
 	{KeyMismatch, errKeyMismatch},
 	{Overloaded, judge.Overloaded},
 	{DeadlinePast, judge.TimedOut},
-	{Draining, judge.Unavailable},
 	{NoTarget, judge.NotFound},
+	{NoTarget, errNoTarget},
+	{Draining, judge.Unavailable},
 	{BadRequest, judge.Invalid},
 	{Broken, judge.Interrupted},
 }
--- a/internal/measurer/calls.go
+++ b/internal/measurer/calls.go
@@ -20,7 +20,7 @@
 	pace            = 500 * time.Microsecond
 	loadWindow      = 4 * time.Second
 	loadCallers     = 10
-	overloadFactor  = 3
+	overloadFactor  = 6
 	overloadSleepMS = 20
 	echoService     = "echo"
 )
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -35,7 +35,7 @@
 	wait   sync.WaitGroup
 }
 
-const callersPerNode = 3
+const callersPerNode = 8
 
 // loadCommand controls callers: load start QUERY NODE..., which make GET and
 // POST requests at these nodes in turn, and load stop.
--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -95,10 +96,15 @@
 	return fmt.Sprintf("127.0.0.1:%d", p)
 }
 
-// freePort finds a port below the range that the system gives to clients.
+// nextPort is shared by all scripts, which run at once.
+var nextPort atomic.Int32
+
+// freePort finds a port below the range that the system gives to clients. No
+// two scripts get the same one.
 func freePort() int {
-	for range 1000 {
-		p := 10000 + int(time.Now().UnixNano()/997%20000)
+	const first, count = 10000, 20000
+	for range count {
+		p := first + int(nextPort.Add(1)+int32(os.Getpid()))%count
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
 		if err != nil {
 			continue
