--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -55,6 +55,7 @@
 		IdleTimeout:       idleBound,
 		MaxHeaderBytes:    maxHeaderBytes,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ConnContext:       meter.WithConn,
 	}
 }
 
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -8,12 +8,15 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 )
 
 const (
 	// holdBytes is the size up to which an answer is held until complete.
 	holdBytes   = 256 << 10
 	streamBytes = 32 << 10
+	// stallBound is how long a reader may take for one part of an answer.
+	stallBound = 30 * time.Second
 )
 
 var buffers = sync.Pool{New: func() any { return new([streamBytes]byte) }}
@@ -85,6 +88,9 @@
 		setLength(w.Header(), a.length)
 	}
 	w.WriteHeader(a.status)
+	c := http.NewResponseController(w)
+	_ = c.SetWriteDeadline(time.Now().Add(stallBound))
+	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
 	if _, err := w.Write(a.held); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return err
 	}
@@ -100,8 +106,10 @@
 	b, _ := buffers.Get().(*[streamBytes]byte)
 	defer buffers.Put(b)
 	c := http.NewResponseController(w)
+	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
 	for {
 		n, err := r.Read(b[:])
+		_ = c.SetWriteDeadline(time.Now().Add(stallBound))
 		if n > 0 {
 			if _, err := w.Write(b[:n]); err != nil {
 				return err
--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -190,6 +190,7 @@
 	c.expire(now)
 	if now.Sub(c.lastProbe) >= probePeriod {
 		c.lastProbe = now
+		c.table.forget(now)
 		o = append(o, c.probe(now)...)
 	}
 	if c.queue.size() > 0 && now.Sub(c.lastRumor) >= rumorPeriod {
@@ -251,7 +252,6 @@
 			c.accept(m.WithCondition(Dead), true, now)
 		}
 	}
-	c.table.forget(now)
 }
 
 func (c *Core) suspect(node string, now time.Time) {
--- a/internal/gossiper/table.go
+++ b/internal/gossiper/table.go
@@ -13,6 +13,8 @@
 
 	deadRetention = time.Hour
 	leftRetention = 10 * time.Minute
+	// lostRetention is longer than any window of idempotency keys.
+	lostRetention = 25 * time.Hour
 )
 
 type row struct {
@@ -128,4 +130,20 @@
 			t.version++
 		}
 	}
+	for s, m := range t.lost {
+		t.lost[s] = recent(m, now.Add(-lostRetention))
+	}
+}
+
+// recent returns m itself, or a copy without what is older than since.
+func recent(m map[string]time.Time, since time.Time) map[string]time.Time {
+	old := func(_ string, t time.Time) bool { return t.Before(since) }
+	for n, t := range m {
+		if old(n, t) {
+			c := maps.Clone(m)
+			maps.DeleteFunc(c, old)
+			return c
+		}
+	}
+	return m
 }
--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -45,7 +45,7 @@
 		}
 	}
 	for _, l := range v.dataCenters {
-		slices.SortFunc(l, func(a, b Member) int { return cmp.Compare(HashNode(a.Node), HashNode(b.Node)) })
+		slices.SortFunc(l, func(a, b Member) int { return cmp.Compare(t.rows[a.Node].hash, t.rows[b.Node].hash) })
 	}
 	return v
 }
--- a/internal/meter/conn.go
+++ b/internal/meter/conn.go
@@ -38,7 +38,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c, traffic: t}, nil
+		return newConn(c, t), nil
 	}
 }
 
@@ -59,29 +59,50 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, traffic: l.traffic}, nil
+	return newConn(c, l.traffic), nil
 }
 
 type conn struct {
 	net.Conn
 
-	traffic *Traffic
+	traffic atomic.Pointer[Traffic]
 	written atomic.Uint64
 }
 
+func newConn(c net.Conn, t *Traffic) *conn {
+	n := &conn{Conn: c}
+	n.traffic.Store(t)
+	return n
+}
+
 // Written implements Counted. It counts what was handed to the connection,
 // whether or not the write succeeded.
 func (c *conn) Written() uint64 { return c.written.Load() }
 
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.traffic.AddReceived(n)
+	c.traffic.Load().AddReceived(n)
 	return n, err
 }
 
 func (c *conn) Write(b []byte) (int, error) {
 	c.written.Add(uint64(len(b)))
 	n, err := c.Conn.Write(b)
-	c.traffic.AddSent(n)
+	c.traffic.Load().AddSent(n)
 	return n, err
 }
+
+type connKey struct{}
+
+// WithConn returns a context that remembers a connection, for http.Server's
+// ConnContext.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Attribute makes t count the connection that ctx remembers from now on.
+func Attribute(ctx context.Context, t *Traffic) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.traffic.Store(t)
+	}
+}
--- a/internal/runner/local.go
+++ b/internal/runner/local.go
@@ -76,6 +76,9 @@
 	if t.Connections > 0 {
 		l.Connections = min(l.Connections, t.Connections)
 	}
+	// Every request in flight has a connection of its own, and idle ones are
+	// used first, so that bounding the slots bounds the connections too.
+	l.Slots = min(l.Slots, l.Connections)
 	return l
 }
 
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -146,7 +146,7 @@
 }
 
 func (n *Node) serve() {
-	n.group.Go(func() { n.listenOn(n.peer, n.sockets.peer) })
+	n.group.Go(func() { n.listenOn(n.peer, n.control.Listener(n.sockets.peer)) })
 	n.group.Go(func() { n.listenOn(n.caller, n.sockets.caller) })
 	n.group.Go(func() { n.listenOn(n.local, n.sockets.local) })
 }
--- a/internal/runner/peer.go
+++ b/internal/runner/peer.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflydoor/dragonflydoor/internal/forwarder"
 	"github.com/dragonflydoor/dragonflydoor/internal/messenger"
+	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/syncer"
 )
 
@@ -16,10 +17,12 @@
 	m := messenger.NewMeshServer(mesh{n})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, forwarder.GatePath+"/") {
+			meter.Attribute(r.Context(), &n.calls)
 			n.gate.ServeHTTP(w, r)
 			return
 		}
 		if strings.HasPrefix(r.URL.Path, forwarder.HomePath+"/") {
+			meter.Attribute(r.Context(), &n.calls)
 			n.entry.ServeHome(w, r)
 			return
 		}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -94,6 +94,11 @@
 	m := meshOf(ts)
 	a := m.address(args[0])
 	check(ts, m.start(args[0], "standin", "target", "--address", a, "--service", args[2], "--node", m.address(args[1]+".local")))
+	// An earlier life may still be announced: the new one must listen too.
+	check(ts, eventually(stepBound, func() error {
+		_, err := get("http://" + a + "/standin/runs")
+		return err
+	}))
 	check(ts, eventually(stepBound, func() error { return m.allKnow(args[2] + "@" + a) }))
 }
 
@@ -380,7 +385,7 @@
 }
 
 // backgroundCommand makes a call in the background: background NAME NODE
-// METHOD PATH [KEY].
+// METHOD PATH [RUN [keyed]].
 func backgroundCommand(ts *testscript.TestScript, _ bool, args []string) {
 	m := meshOf(ts)
 	c := make(chan string, 1)
@@ -393,9 +398,11 @@
 			return
 		}
 		if len(args) > 4 {
-			q.Header.Set("Idempotency-Key", m.key(args[4]))
 			q.Header.Set("X-Run", args[4])
 		}
+		if len(args) > 5 {
+			q.Header.Set("Idempotency-Key", m.key(args[4]))
+		}
 		r, err := (&http.Client{Timeout: time.Minute}).Do(q)
 		if err != nil {
 			c <- fmt.Sprintf("broken: %v", err)
