--- a/internal/cli/promote.go
+++ b/internal/cli/promote.go
@@ -7,42 +7,46 @@
 
 	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 )
 
-type promoteCommand struct {
+// changeOptions are shared by the commands that change what is in force.
+type changeOptions struct {
 	storeOptions
 	outputOptions
 
 	Wait    bool   `arg:"--wait" help:"wait until every node holds the change"`
-	Number  uint64 `arg:"--version" placeholder:"N" help:"version to promote, the newest by default"`
 	ID      string `arg:"--operation" placeholder:"ID" help:"operation id, to ask again after a lost answer"`
 	Profile string `arg:"positional,required" help:"name of the profile"`
 }
 
+type promoteCommand struct {
+	changeOptions
+
+	Number uint64 `arg:"--version" placeholder:"N" help:"version to promote, the newest by default"`
+}
+
 func (c *promoteCommand) run(ctx context.Context, e *environment) error {
-	if err := c.check(); err != nil {
-		return err
-	}
-	if c.ID == "" {
-		c.ID = newOperationID()
-	}
-	ctx, cancel := c.bounded(ctx)
-	defer cancel()
-	o, err := c.publisher().Promote(ctx, c.Profile, c.Number, c.ID)
-	return report(ctx, e, c.storeOptions, c.outputOptions, change{o, c.ID, c.Wait}, err)
+	return c.apply(ctx, e, func(ctx context.Context, p *publisher.Publisher) (accepter.Operation, error) {
+		return p.Promote(ctx, c.Profile, c.Number, c.ID)
+	})
 }
 
 type withdrawCommand struct {
-	storeOptions
-	outputOptions
+	changeOptions
 
-	Wait     bool   `arg:"--wait" help:"wait until every node holds the change"`
 	Fallback string `arg:"--fallback,required" placeholder:"PROFILE" help:"profile that serves in its place"`
-	ID       string `arg:"--operation" placeholder:"ID" help:"operation id, to ask again after a lost answer"`
-	Profile  string `arg:"positional,required" help:"name of the profile"`
 }
 
 func (c *withdrawCommand) run(ctx context.Context, e *environment) error {
+	return c.apply(ctx, e, func(ctx context.Context, p *publisher.Publisher) (accepter.Operation, error) {
+		return p.Withdraw(ctx, c.Profile, c.Fallback, c.ID)
+	})
+}
+
+// apply makes a change and prints what became of it, after waiting for it if
+// asked to.
+func (c *changeOptions) apply(ctx context.Context, e *environment, f func(context.Context, *publisher.Publisher) (accepter.Operation, error)) error {
 	if err := c.check(); err != nil {
 		return err
 	}
@@ -51,35 +55,25 @@
 	}
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
-	o, err := c.publisher().Withdraw(ctx, c.Profile, c.Fallback, c.ID)
-	return report(ctx, e, c.storeOptions, c.outputOptions, change{o, c.ID, c.Wait}, err)
-}
-
-// change is an operation that was tried, under its id.
-type change struct {
-	operation accepter.Operation
-	id        string
-	wait      bool
-}
-
-// report prints what became of a change, after waiting for it if asked to.
-func report(ctx context.Context, e *environment, s storeOptions, o outputOptions, c change, err error) error {
+	o, err := f(ctx, c.publisher())
 	if err != nil {
 		if judge.Of(err) == judge.MayHaveRun {
-			_, _ = fmt.Fprintf(e.err, "The outcome is unknown. Ask again with --operation %s.\n", c.id)
+			_, _ = fmt.Fprintf(e.err, "The outcome is unknown. Ask again with --operation %s.\n", c.ID)
 		}
 		return err
 	}
-	j := writeOperation(c.operation)
+	return c.report(ctx, e, writeOperation(o))
+}
+
+func (c *changeOptions) report(ctx context.Context, e *environment, j operationJSON) error {
 	var late error
-	if c.wait {
-		t, err := awaitGeneration(ctx, s, c.operation.Generation)
+	if c.Wait {
+		t, err := awaitGeneration(ctx, c.storeOptions, j.Generation)
 		j.NodesHold = &t.hold
 		j.NodesKnown = &t.known
 		late = err
 	}
-	err = o.print(e.out, j, func(w io.Writer) { printChange(w, j) })
-	if err != nil {
+	if err := c.print(e.out, j, func(w io.Writer) { printChange(w, j) }); err != nil {
 		return err
 	}
 	return late
--- a/internal/forwarder/keyed.go
+++ b/internal/forwarder/keyed.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
@@ -53,7 +54,7 @@
 		if err == nil || judge.Of(err) != judge.NotRun || !judge.Is(err, errNotHome) || !j.body.replayable() {
 			return a, err
 		}
-		if !sleep(j.ctx, homePause<<n) {
+		if !sleeper.Sleep(j.ctx, homePause<<n) {
 			break
 		}
 	}
@@ -227,15 +228,3 @@
 	_, _ = h.Write(j.body.kept)
 	return h.Sum64()
 }
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/imitator/target.go
+++ b/internal/imitator/target.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
@@ -139,7 +141,7 @@
 	if q.Has("crash") {
 		t.Exit()
 	}
-	if !sleep(r.Context(), millis(q.Get("sleep_ms"))) {
+	if !sleeper.Sleep(r.Context(), millis(q.Get("sleep_ms"))) {
 		return
 	}
 	if n := number(q.Get("bytes")); n > 0 {
@@ -202,26 +204,12 @@
 		if p > 0 {
 			_ = http.NewResponseController(w).Flush()
 		}
-		if !sleep(r.Context(), p) {
+		if !sleeper.Sleep(r.Context(), p) {
 			return
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func number(s string) int {
 	n, err := strconv.Atoi(s)
 	if err != nil {
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -9,14 +9,16 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
 const (
 	logPrefix = "joiner: "
 
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 5 * time.Second
+	minBackoff   = 100 * time.Millisecond
+	retryBackoff = time.Second
+	maxBackoff   = 5 * time.Second
 	// aloneAfter is the number of fruitless rounds after which a node takes
 	// itself for the first one.
 	aloneAfter = 2
@@ -45,15 +47,14 @@
 // there were no other node, in which case it keeps trying in the background
 // through the relays that the store lists.
 func (j *Joiner) Join(ctx context.Context) bool {
-	b := minBackoff
+	b := sleeper.Backoff{First: minBackoff, Max: maxBackoff}
 	for range aloneAfter {
 		if j.round(ctx) {
 			return true
 		}
-		if !pause(ctx, b/2+rand.N(b)) {
+		if !b.Sleep(ctx) {
 			return false
 		}
-		b = min(b*2, maxBackoff)
 	}
 	klog.Info(logPrefix + "No other node answers yet.")
 	return false
@@ -61,12 +62,8 @@
 
 // Retry goes on joining until a peer has answered.
 func (j *Joiner) Retry(ctx context.Context) {
-	b := time.Second
-	for pause(ctx, b/2+rand.N(b)) {
-		if j.round(ctx) {
-			return
-		}
-		b = min(b*2, maxBackoff)
+	b := sleeper.Backoff{First: retryBackoff, Max: maxBackoff}
+	for b.Sleep(ctx) && !j.round(ctx) {
 	}
 }
 
@@ -102,14 +99,3 @@
 	}
 	return r
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
@@ -125,28 +125,15 @@
 // repeat calls f until it succeeds, fails for good, or tries run out.
 func (p *Publisher) repeat(ctx context.Context, f func() error) error {
 	var err error
-	b := firstBackoff
+	b := sleeper.Backoff{First: firstBackoff, Max: maxBackoff}
 	for range maxTries {
 		err = f()
 		if err == nil || isFinal(err) {
 			return err
 		}
-		if !pause(ctx, b) {
+		if !b.Sleep(ctx) {
 			return err
 		}
-		b = min(b*2, maxBackoff)
 	}
 	return err
 }
-
-// pause waits about d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/limiter"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
@@ -73,19 +74,18 @@
 
 // compete waits for a vacancy, takes it, and serves until the slot is lost.
 func (r *Relayer) compete(ctx context.Context) {
-	b := minBackoff
+	b := sleeper.Backoff{First: minBackoff, Max: maxBackoff}
 	for r.awaitTurn(ctx) {
 		ok, err := r.acquire(ctx)
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"No slot was taken: %v", err)
 		}
 		if ok {
-			b = minBackoff
+			b.Reset()
 			r.serve(ctx)
 			continue
 		}
-		pause(ctx, b/2+rand.N(b))
-		b = min(b*2, maxBackoff)
+		b.Sleep(ctx)
 	}
 }
 
@@ -93,7 +93,7 @@
 // missing, and the nodes before it in hash order have had their time.
 func (r *Relayer) awaitTurn(ctx context.Context) bool {
 	var since time.Time
-	for pause(ctx, electionPeriod/2+rand.N(electionPeriod)) {
+	for sleeper.Sleep(ctx, electionPeriod/2+rand.N(electionPeriod)) {
 		k, missing := r.rank()
 		if missing <= 0 || r.gossiper.Self().Status != gossiper.Serving {
 			since = time.Time{}
@@ -223,7 +223,7 @@
 // renew keeps the lease alive and returns once it has lapsed. While the store
 // does not answer, the node goes on: its children need a root all the same.
 func (r *Relayer) renew(ctx context.Context) {
-	for pause(ctx, renewPeriod) {
+	for sleeper.Sleep(ctx, renewPeriod) {
 		err := r.store.KeepAlive(ctx, r.lease)
 		if judge.Is(err, judge.NotFound) {
 			klog.Warning(logPrefix + "The lease has lapsed.")
@@ -247,7 +247,7 @@
 			klog.Warning(logPrefix + "The store has lost this relay's slot.")
 			return
 		}
-		if !pause(ctx, listPeriod/2+rand.N(listPeriod)) {
+		if !sleeper.Sleep(ctx, listPeriod/2+rand.N(listPeriod)) {
 			return
 		}
 	}
@@ -262,15 +262,3 @@
 	}
 	return false
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -10,6 +9,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
@@ -17,7 +17,7 @@
 func (r *Relayer) watch(ctx context.Context) {
 	var n uint64
 	known := false
-	b := minBackoff
+	b := sleeper.Backoff{First: minBackoff, Max: maxBackoff}
 	for ctx.Err() == nil {
 		v, changed, err := r.next(ctx, n, known)
 		if err == nil && changed {
@@ -26,12 +26,11 @@
 		r.connected.Store(err == nil)
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"Watching the store failed: %v", err)
-			pause(ctx, b/2)
-			b = min(b*2, maxBackoff)
+			b.Sleep(ctx)
 			known = false
 			continue
 		}
-		b = minBackoff
+		b.Reset()
 		if changed {
 			n = v.Revision
 			known = true
@@ -132,11 +131,8 @@
 			return err
 		}
 	}
+	// On a conflict somebody else was first; the next read shows what it wrote.
 	_, err := r.store.Put(ctx, storer.HeadKey, accepter.EncodeState(m), revision, 0)
-	if judge.Is(err, judge.Conflict) {
-		// Another relay or an operator was first; the next read shows what it wrote.
-		pause(ctx, time.Millisecond)
-	}
 	return err
 }
 
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -21,6 +21,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 	"github.com/dragonflydoor/dragonflydoor/internal/relayer"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 	"github.com/dragonflydoor/dragonflydoor/internal/syncer"
 )
@@ -208,7 +209,7 @@
 		case <-ctx.Done():
 		}
 	})
-	pause(ctx, drainGrace)
+	sleeper.Sleep(ctx, drainGrace)
 	n.finish(ctx)
 	cancel()
 	n.group.Wait()
@@ -240,13 +241,3 @@
 		_ = s.Close()
 	}
 }
-
-// pause waits for d or until ctx is done.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/syncer/puller.go
+++ b/internal/syncer/puller.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/messenger"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
@@ -77,7 +78,7 @@
 // pull polls one parent after another. A parent that answers is kept.
 func (p *Puller) pull(ctx context.Context) {
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	b := minBackoff
+	b := sleeper.Backoff{First: minBackoff, Max: maxBackoff}
 	for ctx.Err() == nil {
 		ok := false
 		for _, m := range p.parents(r) {
@@ -86,12 +87,11 @@
 			}
 		}
 		if ok {
-			b = minBackoff
+			b.Reset()
 			continue
 		}
 		p.parent.Store(nil)
-		pause(ctx, b/2+time.Duration(r.Int64N(int64(b))))
-		b = min(b*2, maxBackoff)
+		b.Sleep(ctx)
 	}
 }
 
@@ -215,7 +215,7 @@
 // check ends the running poll when the report has changed or the parent has
 // gone, and fetches generations that the tree did not bring.
 func (p *Puller) check(ctx context.Context) {
-	for pause(ctx, checkPeriod) {
+	for sleeper.Sleep(ctx, checkPeriod) {
 		if p.outdated() {
 			p.interrupt()
 		}
@@ -273,15 +273,3 @@
 		klog.Infof(logPrefix+"Applied generation %d, digest %s.", g, c.StateDigest.Short())
 	}
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -66,6 +66,11 @@
 		t.Error("a body that was cut short was taken")
 	}
 	a = Compose(nil, l[0])
+	a.Bodies[0].Whole = Compose(nil, l[2]).GetBodies()[0].GetWhole()
+	if _, _, err := Assemble(nil, a); err == nil {
+		t.Error("a valid body with another digest was taken")
+	}
+	a = Compose(nil, l[0])
 	a.Entries[0].Version++
 	if _, _, err := Assemble(nil, a); err == nil {
 		t.Error("a state with another digest was taken")
