Keep membership within the budget when a data centre goes

Cause, found on paper at the aimed size: after the loss of 443 nodes every bucket of the table differs, and nodes that compared tables sent whole buckets, 0.6 MB every 2 s; rumors took up to 12 KB/s. Ruled out: probes, which cost the same whatever happens.

Tables are compared by summaries of two buckets at a time (about 2 KB each at 6,200 members), and only records that one side lacks are sent; rumors are bound to 1.5 KB/s with a burst of 6 KB. Not measured at the aimed size; the scenarios and the unit tests of partitions and deaths pass as before.

--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/limiter"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
 )
 
@@ -21,8 +22,12 @@
 	// for the one that was stopped, and doubts nobody.
 	stallBound = 2 * time.Second
 
-	indirectProbes   = 3
-	rumorFanOut      = 2
+	indirectProbes = 3
+	rumorFanOut    = 2
+	// rumorBytesPerS and rumorBurst bound what rumors cost, so that the loss of
+	// a data centre stays near the budget of control bytes.
+	rumorBytesPerS   = 1500
+	rumorBurst       = 6000
 	retransmitFactor = 3
 	deadProbePeriods = 4
 	mismatchBound    = 3
@@ -82,6 +87,8 @@
 	// quarantine takes in strikes; those that are new are spread.
 	quarantine *quarantiner.Quarantine
 
+	rumorBudget *limiter.Bucket
+
 	held       Hint
 	best       Hint
 	mismatches int
@@ -91,15 +98,16 @@
 // NewCore returns a core that is the author of self.
 func NewCore(self Member, r *rand.Rand, now time.Time) *Core {
 	c := &Core{
-		self:       self,
-		rand:       r,
-		quarantine: &quarantiner.Quarantine{},
-		probes:     make(map[uint64]probe),
-		errands:    make(map[uint64]errand),
-		deadlines:  make(map[string]time.Time),
-		homeSince:  make(map[string]time.Time),
-		trusted:    now,
-		lastTick:   now,
+		self:        self,
+		rand:        r,
+		quarantine:  &quarantiner.Quarantine{},
+		rumorBudget: limiter.NewBucket(rumorBytesPerS, rumorBurst),
+		probes:      make(map[uint64]probe),
+		errands:     make(map[uint64]errand),
+		deadlines:   make(map[string]time.Time),
+		homeSince:   make(map[string]time.Time),
+		trusted:     now,
+		lastTick:    now,
 		// The first probes of nodes that start together are spread.
 		lastProbe: now.Add(-time.Duration(r.Int64N(int64(probePeriod)))),
 	}
@@ -195,7 +203,7 @@
 	}
 	if c.queue.size() > 0 && now.Sub(c.lastRumor) >= rumorPeriod {
 		c.lastRumor = now
-		o = append(o, c.rumors()...)
+		o = append(o, c.rumors(now)...)
 	}
 	return o
 }
@@ -345,10 +353,15 @@
 	return p, seen > 0
 }
 
-func (c *Core) rumors() []Outgoing {
+func (c *Core) rumors(now time.Time) []Outgoing {
 	var o []Outgoing
 	for _, m := range c.pick(rumorFanOut, "") {
-		o = append(o, c.filled(m, c.packet(Rumor)))
+		if !c.rumorBudget.Take(now) {
+			break
+		}
+		q := c.filled(m, c.packet(Rumor))
+		c.rumorBudget.Spend(float64(q.Packet.size()))
+		o = append(o, q)
 	}
 	return o
 }
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -11,7 +12,10 @@
 )
 
 const (
-	exchangePeriod  = 2 * time.Second
+	exchangePeriod = 2 * time.Second
+	// maxBuckets bounds what one comparison costs: with 6,200 members a bucket
+	// has about 100 summaries of 20 bytes.
+	maxBuckets      = 2
 	exchangeTimeout = 2 * time.Second
 	// wholeTablesPerSecond admits joining nodes, which take the whole table.
 	wholeTablesPerSecond = 50
@@ -63,8 +67,10 @@
 	return r.gossiper.core.Differing()
 }
 
-// Exchange merges tables with the node at address, and reports whether it had
-// the time. The whole table is asked for when joining.
+// Exchange compares tables with the node at address, and reports whether it
+// had the time. The whole table is asked for when joining; otherwise a few
+// buckets that differ are compared by summaries, and only records that either
+// side lacks are sent.
 func (r *Reconciler) Exchange(ctx context.Context, address string, joining bool) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -74,11 +80,16 @@
 		return false, err
 	}
 	r.take("", a.GetMembers())
-	if len(a.GetWanted()) == 0 {
+	q := r.compareSummaries(a)
+	if len(q.GetMembers()) == 0 && len(q.GetWanted()) == 0 {
 		return true, nil
 	}
-	_, err = c.Exchange(ctx, r.push(a.GetWanted()))
-	return true, err
+	a, err = c.Exchange(ctx, q)
+	if err != nil {
+		return false, err
+	}
+	r.take("", a.GetMembers())
+	return true, nil
 }
 
 func (r *Reconciler) request(joining bool) *messenger.ExchangeRequest {
@@ -87,6 +98,7 @@
 	defer g.mu.Unlock()
 	q := &messenger.ExchangeRequest{Node: g.core.self.Node}
 	if joining {
+		q.Joining = true
 		q.Members = WriteMembers([]Member{g.core.self})
 		return q
 	}
@@ -94,19 +106,40 @@
 	return q
 }
 
-func (r *Reconciler) push(wanted []uint32) *messenger.ExchangeRequest {
+// compareSummaries takes in what the other side's summaries say, and returns
+// the records to push and to ask for.
+func (r *Reconciler) compareSummaries(a *messenger.ExchangeResponse) *messenger.ExchangeRequest {
 	g := r.gossiper
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var w [BucketCount]bool
-	for _, b := range wanted {
-		w[b%BucketCount] = true
+	q := &messenger.ExchangeRequest{Node: g.core.self.Node}
+	theirs := make(map[uint64]Tombstone)
+	for _, t := range readTombstones(a.GetSummaries()) {
+		theirs[t.NodeHash] = t
+		if g.core.lacks(t) {
+			q.Wanted = append(q.Wanted, t.NodeHash)
+			continue
+		}
+		g.core.bury(t, false, time.Now())
 	}
-	return &messenger.ExchangeRequest{
-		Node:    g.core.self.Node,
-		Members: WriteMembers(g.core.table.inBuckets(func(b uint64) bool { return w[b] })),
-		Buckets: append([]uint64(nil), g.core.table.buckets[:]...),
+	for _, m := range g.core.table.inBuckets(a.GetDiffering()) {
+		if t, ok := theirs[HashNode(m.Node)]; !ok || m.supersedes(Member{Incarnation: t.Incarnation, Condition: t.Condition}) {
+			q.Members = append(q.Members, WriteMembers([]Member{m})...)
+		}
 	}
+	g.refresh()
+	return q
+}
+
+// lacks reports whether the record that t stands for is newer than what is
+// known, so that its content is needed.
+func (c *Core) lacks(t Tombstone) bool {
+	n, ok := c.table.byHash[t.NodeHash]
+	if !ok {
+		return true
+	}
+	m, _ := c.table.get(n)
+	return t.Incarnation > m.Incarnation
 }
 
 func (r *Reconciler) take(from string, list []*messenger.Member) {
@@ -121,27 +154,47 @@
 // Serve answers the comparison that another node started.
 func (r *Reconciler) Serve(q *messenger.ExchangeRequest) *messenger.ExchangeResponse {
 	r.take(q.GetNode(), q.GetMembers())
-	if len(q.GetBuckets()) != BucketCount {
+	switch {
+	case len(q.GetBuckets()) == BucketCount:
+		return r.summarize(q.GetBuckets())
+	case len(q.GetWanted()) > 0:
+		return r.records(q.GetWanted())
+	case q.GetJoining():
 		return r.whole()
 	}
+	return &messenger.ExchangeResponse{}
+}
+
+// summarize returns the summaries of a few buckets that differ.
+func (r *Reconciler) summarize(buckets []uint64) *messenger.ExchangeResponse {
 	g := r.gossiper
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a := &messenger.ExchangeResponse{}
-	for i, d := range q.GetBuckets() {
-		if d != g.core.table.buckets[i] {
-			a.Wanted = append(a.Wanted, uint32(i))
+	for _, i := range rand.Perm(BucketCount) {
+		if buckets[i] != g.core.table.buckets[i] && len(a.GetDiffering()) < maxBuckets {
+			a.Differing = append(a.Differing, uint32(i))
 		}
 	}
-	if len(a.Wanted) == 0 || len(q.GetMembers()) > 0 {
-		// The second round of an exchange only pushes.
-		a.Wanted = nil
-		return a
+	for _, m := range g.core.table.inBuckets(a.GetDiffering()) {
+		a.Summaries = append(a.Summaries, writeTombstone(tombstone(m)))
 	}
-	a.Members = WriteMembers(g.core.table.inBuckets(func(b uint64) bool { return q.GetBuckets()[b] != g.core.table.buckets[b] }))
 	return a
 }
 
+func (r *Reconciler) records(wanted []uint64) *messenger.ExchangeResponse {
+	g := r.gossiper
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var l []Member
+	for _, h := range wanted {
+		if m, ok := g.core.table.get(g.core.table.byHash[h]); ok {
+			l = append(l, m)
+		}
+	}
+	return &messenger.ExchangeResponse{Members: WriteMembers(l)}
+}
+
 func (r *Reconciler) whole() *messenger.ExchangeResponse {
 	if !r.admitted.Take(time.Now()) {
 		return &messenger.ExchangeResponse{Busy: true}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -144,7 +144,7 @@
 func (g *Gossiper) Farewell() {
 	for range stopRumors {
 		g.mu.Lock()
-		o := g.core.rumors()
+		o := g.core.rumors(time.Now())
 		g.mu.Unlock()
 		g.send(o)
 		time.Sleep(stopSpacing)
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -53,11 +53,7 @@
 		Members:     WriteMembers(p.Members),
 	}
 	for _, t := range p.Tombstones {
-		w.Tombstones = append(w.Tombstones, &messenger.Tombstone{
-			NodeHash:    t.NodeHash,
-			Incarnation: t.Incarnation,
-			Condition:   uint32(t.Condition),
-		})
+		w.Tombstones = append(w.Tombstones, writeTombstone(t))
 	}
 	for _, s := range p.Strikes {
 		w.Strikes = append(w.Strikes, &messenger.Strike{
@@ -92,13 +88,7 @@
 		StateDigest: w.GetStateDigest(),
 		TableDigest: w.GetTableDigest(),
 		Members:     ReadMembers(w.GetMembers()),
-	}
-	for _, t := range w.GetTombstones() {
-		p.Tombstones = append(p.Tombstones, Tombstone{
-			NodeHash:    t.GetNodeHash(),
-			Incarnation: t.GetIncarnation(),
-			Condition:   readCondition(t.GetCondition()),
-		})
+		Tombstones:  readTombstones(w.GetTombstones()),
 	}
 	for _, s := range w.GetStrikes() {
 		p.Strikes = append(p.Strikes, quarantiner.Strike{
@@ -111,6 +101,22 @@
 	return p, nil
 }
 
+func writeTombstone(t Tombstone) *messenger.Tombstone {
+	return &messenger.Tombstone{NodeHash: t.NodeHash, Incarnation: t.Incarnation, Condition: uint32(t.Condition)}
+}
+
+func readTombstones(list []*messenger.Tombstone) []Tombstone {
+	l := make([]Tombstone, 0, len(list))
+	for _, w := range list {
+		l = append(l, Tombstone{
+			NodeHash:    w.GetNodeHash(),
+			Incarnation: w.GetIncarnation(),
+			Condition:   readCondition(w.GetCondition()),
+		})
+	}
+	return l
+}
+
 // WriteMembers maps records to their wire form.
 func WriteMembers(list []Member) []*messenger.Member {
 	l := make([]*messenger.Member, 0, len(list))
--- a/internal/gossiper/queue.go
+++ b/internal/gossiper/queue.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// size estimates the bytes of a packet.
+func (p Packet) size() int {
+	s := overheadBytes + len(p.Tombstones)*tombstoneBytes + len(p.Strikes)*strikeBytes
+	for _, m := range p.Members {
+		s += size(m)
+	}
+	return s
+}
+
 func (q *queue) byUse() []*update {
 	l := make([]*update, 0, len(q.updates))
 	for _, u := range q.updates {
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -8,7 +8,7 @@
 		c.apply(m, true, now)
 	}
 	for _, t := range p.Tombstones {
-		c.bury(t, now)
+		c.bury(t, true, now)
 	}
 	for _, s := range p.Strikes {
 		c.Strike(s, now)
@@ -99,7 +99,8 @@
 	c.accept(c.soften(m), spread, now)
 }
 
-func (c *Core) bury(t Tombstone, now time.Time) {
+// bury takes in what somebody else believes of a member that is known here.
+func (c *Core) bury(t Tombstone, spread bool, now time.Time) {
 	n, ok := c.table.byHash[t.NodeHash]
 	if !ok {
 		return
@@ -110,7 +111,7 @@
 		return
 	}
 	if m.Incarnation == t.Incarnation {
-		c.accept(c.soften(m.WithCondition(t.Condition)), true, now)
+		c.accept(c.soften(m.WithCondition(t.Condition)), spread, now)
 	}
 }
 
--- a/internal/gossiper/table.go
+++ b/internal/gossiper/table.go
@@ -97,10 +97,14 @@
 }
 
 // inBuckets returns the records of the given buckets.
-func (t *table) inBuckets(wanted func(bucket uint64) bool) []Member {
+func (t *table) inBuckets(buckets []uint32) []Member {
+	var wanted [BucketCount]bool
+	for _, b := range buckets {
+		wanted[b%BucketCount] = true
+	}
 	var l []Member
 	for _, r := range t.rows {
-		if wanted(r.hash % BucketCount) {
+		if wanted[r.hash%BucketCount] {
 			l = append(l, r.member)
 		}
 	}
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -35,3 +35,11 @@
 	b.tokens--
 	return true
 }
+
+// Spend takes n tokens, which may leave the bucket in debt. It is for events
+// whose cost is known only after Take has admitted them.
+func (b *Bucket) Spend(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens -= n
+}
