--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -43,9 +43,8 @@
 	return &Joiner{exchanger: e, store: s, self: self, peers: peers}
 }
 
-// Join returns once a peer has shared its membership, or once it looks as if
-// there were no other node, in which case it keeps trying in the background
-// through the relays that the store lists.
+// Join returns true once a peer has shared its membership, and false once it
+// looks as if there were no other node; Retry goes on then.
 func (j *Joiner) Join(ctx context.Context) bool {
 	b := sleeper.Backoff{First: minBackoff, Max: maxBackoff}
 	for range aloneAfter {
--- a/internal/router/profile.go
+++ b/internal/router/profile.go
@@ -106,12 +106,6 @@
 	return p.Routes[i], true
 }
 
-// WithName returns the profile under another name.
-func (p Profile) WithName(name string) Profile {
-	p.Name = name
-	return p
-}
-
 // WithDescription returns the profile with another description.
 func (p Profile) WithDescription(text string) Profile {
 	p.Description = text
