--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -18,7 +18,7 @@
 	lost := 0
 	for i := range 1000 {
 		now = now.Add(time.Millisecond)
-		e, ok := b.Pick(l, "a", nil, now)
+		e, ok := b.Pick(l, Query{DataCenter: "a"}, now)
 		if !ok {
 			t.Fatalf("call %d has no target", i)
 		}
@@ -35,7 +35,7 @@
 	// A newer record means that it is back.
 	l[0].Incarnation = 2
 	for range 100 {
-		if e, _ := b.Pick(l, "a", nil, now); e.Address == "dead" {
+		if e, _ := b.Pick(l, Query{DataCenter: "a"}, now); e.Address == "dead" {
 			return
 		}
 	}
@@ -63,14 +63,14 @@
 			for range c.calls {
 				b.Start(near, now)(c.outcome, now)
 			}
-			if e, _ := b.Pick([]gossiper.Endpoint{near, far}, "a", nil, now); e.Address != c.want {
+			if e, _ := b.Pick([]gossiper.Endpoint{near, far}, Query{DataCenter: "a"}, now); e.Address != c.want {
 				t.Errorf("got %s", e.Address)
 			}
 		})
 	}
 	var b Balancer
 	b.Start(near, now)(Departed, now)
-	if _, ok := b.Pick([]gossiper.Endpoint{near}, "a", nil, now); !ok {
+	if _, ok := b.Pick([]gossiper.Endpoint{near}, Query{DataCenter: "a"}, now); !ok {
 		t.Error("the only target is not tried although nothing else is left")
 	}
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,7 @@
 // arguments is the whole command line.
 type arguments struct {
 	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node beside a target"`
+	Sidecar  *sidecarCommand  `arg:"subcommand:sidecar" help:"run a node on the users' platform"`
 	Publish  *publishCommand  `arg:"subcommand:publish" help:"store a new version of a profile"`
 	Promote  *promoteCommand  `arg:"subcommand:promote" help:"put a published version in force"`
 	Withdraw *withdrawCommand `arg:"subcommand:withdraw" help:"take a profile out of force, in favour of another"`
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -19,7 +19,6 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 	"github.com/dragonflydoor/dragonflydoor/internal/runner"
-	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
 const (
@@ -122,7 +121,7 @@
 		Peers:               []string{d.nodeAddress(0, 0)},
 		RelaysPerDataCenter: 1,
 		FanOut:              2,
-	})
+	}, ownSurroundings())
 	if err != nil {
 		return err
 	}
@@ -168,7 +167,7 @@
 		return err
 	}
 	s := d.address(demoStorePort)
-	u := publisher.New(storer.NewClient(s, &meter.Traffic{}), "demo")
+	u := publisher.New(newStore(s, &meter.Traffic{}), "demo")
 	if _, err := u.Publish(ctx, p, newOperationID()); err != nil {
 		return err
 	}
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"flag"
-	"strconv"
-
-	"k8s.io/klog/v2"
+	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/configurer"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/logger"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 	"github.com/dragonflydoor/dragonflydoor/internal/runner"
 )
@@ -23,20 +21,26 @@
 	if err != nil {
 		return err
 	}
-	setVerbosity(s.Verbosity)
-	n, err := runner.New(s)
+	stop := startLog(e, s.Verbosity)
+	defer stop()
+	n, err := runner.New(s, ownSurroundings())
 	if err != nil {
 		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
 	}
+	group.Go(func() { followSettings(ctx, c.Settings, configurer.Parse, n.Reload) })
+	group.Go(func() { followSettings(ctx, c.Settings, configurer.Parse, n.Reload) })
 	n.Run(ctx, e.again)
-	klog.Flush()
 	return nil
 }
 
-func setVerbosity(v int) {
-	f := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(f)
-	_ = f.Set("v", strconv.Itoa(v))
+// logBound is how long a stop waits for the reader of the log.
+const logBound = time.Second
+
+// startLog sends log lines to standard output until the returned function is
+// called.
+func startLog(e *environment, verbosity int) func() {
+	_, stop := logger.Start(e.out, verbosity, &group)
+	return func() { stop(logBound) }
 }
 
 // gather adds the problems of a file to all, with the file in their paths.
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -17,7 +17,6 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
-	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
 const operationIDBytes = 12
@@ -32,7 +31,7 @@
 }
 
 func (o storeOptions) publisher() *publisher.Publisher {
-	return publisher.New(storer.NewClient(o.Store, &meter.Traffic{}), o.Operator)
+	return publisher.New(newStore(o.Store, &meter.Traffic{}), o.Operator)
 }
 
 // outputOptions choose between text for people and JSON for scripts.
--- /dev/null
+++ b/internal/cli/sidecar.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/runner"
+	"github.com/dragonflydoor/dragonflydoor/platform"
+)
+
+// sidecarCommand runs a node on the users' platform.
+type sidecarCommand struct {
+	Settings string `arg:"--settings" placeholder:"FILE" help:"the platform's settings (default: where it says they are)"`
+}
+
+func (c *sidecarCommand) run(ctx context.Context, e *environment) error {
+	f := c.Settings
+	if f == "" {
+		f = platform.SettingsPath()
+	}
+	s, err := platform.LoadSettings(f)
+	if err != nil {
+		return judge.Wrap(err, judge.Invalid, judge.NotRun, "settings %s", f)
+	}
+	stop := startLog(e, s.Verbosity)
+	defer stop()
+	n, err := runner.New(s, platformSurroundings())
+	if err != nil {
+		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
+	}
+	group.Go(func() { followSettings(ctx, f, platform.DecodeSettings, n.Reload) })
+	group.Go(func() { followSettings(ctx, f, platform.DecodeSettings, n.Reload) })
+	n.Run(ctx, e.again)
+	return nil
+}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -5,9 +5,11 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
+	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 	"github.com/dragonflydoor/dragonflydoor/internal/validator"
 )
 
@@ -19,8 +21,28 @@
 	maxFanOut     = 64
 	maxVerbosity  = 4
 	addressRule   = `an IP number with port, such as "10.0.0.7:7100"`
+
+	// DefaultStopBound is the time that a planned stop may take: callers' own
+	// deadlines end what is in flight long before.
+	DefaultStopBound = time.Minute
+	maxStopBound     = 24 * time.Hour
+	maxLinger        = time.Minute
+	// DefaultRetryWindow is the time over which retries are compared with calls.
+	DefaultRetryWindow = 10 * time.Second
+	maxRetryPercent    = 100
 )
 
+// Defaults returns settings with the default of every field that has one.
+func Defaults() Settings {
+	return Settings{
+		RelaysPerDataCenter: defaultRelays,
+		FanOut:              defaultFanOut,
+		StopBound:           DefaultStopBound,
+		AnnouncementTTL:     registrar.DefaultTTL,
+		RetryWindow:         DefaultRetryWindow,
+	}
+}
+
 // Settings configure one node.
 type Settings struct {
 	// Node names this node in the whole mesh.
@@ -47,6 +69,28 @@
 	FanOut int
 	// Verbosity of the log, 0 to 4.
 	Verbosity int
+	// Service is the service beside this node, for targets that want to know
+	// where a request began.
+	Service string
+	// TargetAddress is the address of the target beside this node, empty where
+	// that is not known beforehand.
+	TargetAddress string
+	// ReadyAddress is where the node says whether callers may come, and
+	// MetricsAddress where it serves metrics besides LocalAddress. Empty ones
+	// are not listened on.
+	ReadyAddress   string
+	MetricsAddress string
+	// StopBound bounds a planned stop, and Linger is how long requests are still
+	// taken after it has begun.
+	StopBound time.Duration
+	Linger    time.Duration
+	// AnnouncementTTL is how long a target's announcement holds.
+	AnnouncementTTL time.Duration
+	// RetryPercent and RetrySlack bound the retries that all nodes together make
+	// for a service within RetryWindow; zeros leave it to the service.
+	RetryPercent int
+	RetrySlack   float64
+	RetryWindow  time.Duration
 }
 
 // field reads one setting into s. The table below is the whole format.
@@ -73,6 +117,20 @@
 	{"fan_out", func(o *parser.Object, n string, s *Settings) {
 		s.FanOut = int(o.Number(n, defaultFanOut, 2, maxFanOut))
 	}},
+	{"service", func(o *parser.Object, n string, s *Settings) { s.Service = o.Text(n) }},
+	{"target_address", func(o *parser.Object, n string, s *Settings) { s.TargetAddress = readOptionalAddress(o, n, "") }},
+	{"ready_address", func(o *parser.Object, n string, s *Settings) { s.ReadyAddress = readOptionalAddress(o, n, "") }},
+	{"metrics_address", func(o *parser.Object, n string, s *Settings) { s.MetricsAddress = readOptionalAddress(o, n, "") }},
+	{"stop_bound", func(o *parser.Object, n string, s *Settings) {
+		s.StopBound = o.Duration(n, DefaultStopBound, time.Second, maxStopBound)
+	}},
+	{"linger", func(o *parser.Object, n string, s *Settings) { s.Linger = o.Duration(n, 0, 0, maxLinger) }},
+	{"announcement_ttl", func(o *parser.Object, n string, s *Settings) {
+		s.AnnouncementTTL = o.Duration(n, registrar.DefaultTTL, time.Second, time.Hour)
+	}},
+	{"retry_percent", func(o *parser.Object, n string, s *Settings) {
+		s.RetryPercent = int(o.Number(n, 0, 0, maxRetryPercent))
+	}},
 	{"log_verbosity", func(o *parser.Object, n string, s *Settings) { s.Verbosity = int(o.Number(n, 0, 0, maxVerbosity)) }},
 }
 
@@ -82,7 +140,7 @@
 	if err := r.Problems().Err(); err != nil {
 		return Settings{}, err
 	}
-	var s Settings
+	s := Defaults()
 	for _, f := range fields {
 		f.read(o, f.name, &s)
 	}
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -40,8 +40,9 @@
 		},
 		{
 			name: "unknown field", old: `"node"`, new: `"nod": 1, "node"`,
-			want: []string{"nod: 1: expected one of the fields caller_address, data_center, fan_out, local_address, " +
-				"log_verbosity, node, peer_address, peer_bind_address, peers, profile, relays_per_data_center, store_address"},
+			want: []string{"nod: 1: expected one of the fields announcement_ttl, caller_address, data_center, fan_out, linger, " +
+				"local_address, log_verbosity, metrics_address, node, peer_address, peer_bind_address, peers, profile, ready_address, " +
+				"relays_per_data_center, retry_percent, service, stop_bound, store_address, target_address"},
 		},
 		{
 			name: "field twice", old: `"node"`, new: `"node": "a", "node"`,
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 )
 
@@ -23,6 +24,16 @@
 	maxHeaderBytes    = 64 << 10
 	maxStreams        = 1000
 	keepAliveInterval = 15 * time.Second
+
+	// peerDialBound is what a call pays for a node that has vanished: some round
+	// trips between data centres, and far less than any request has.
+	peerDialBound = 300 * time.Millisecond
+	// peerIdleBound is below idleBound, the time after which the other side
+	// closes.
+	peerIdleBound = idleBound / 2
+	// peerSilence is three signs of life of a gate, and some delay.
+	peerSilence = 500 * time.Millisecond
+	maxPeerIdle = 64
 )
 
 // NewTransport returns a transport to other nodes whose bytes t counts. It
@@ -55,7 +66,8 @@
 		IdleTimeout:       idleBound,
 		MaxHeaderBytes:    maxHeaderBytes,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
-		ConnContext:       meter.WithConn,
+		ConnContext:       withConn,
+		ConnState:         trackState,
 	}
 }
 
@@ -71,3 +83,15 @@
 	}
 	return &net.TCPAddr{IP: i}
 }
+
+// NewPeers returns a client for calls to other nodes whose bytes t counts. It
+// sends from the IP number of address from, unless that is empty.
+func NewPeers(t *meter.Traffic, from string) *exchanger.Client {
+	return exchanger.New(exchanger.Options{
+		Source:    source(from),
+		DialBound: peerDialBound,
+		IdleBound: peerIdleBound,
+		Silence:   peerSilence,
+		MaxIdle:   maxPeerIdle,
+	}, t)
+}
--- a/internal/encoder/profile.go
+++ b/internal/encoder/profile.go
@@ -6,8 +6,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
@@ -38,6 +36,7 @@
 	defaultKeyWindow     = 2 * time.Minute
 	minKeyWindow         = time.Second
 	maxKeyWindow         = 24 * time.Hour
+	maxPriority          = 1000
 )
 
 // The wire forms. Field order is the canonical order.
@@ -75,6 +74,11 @@
 		Destinations []destinationJSON `json:"destinations"`
 		Timeout      string            `json:"timeout,omitempty"`
 		Idempotent   bool              `json:"idempotent,omitempty"`
+		AtMostOnce   bool              `json:"at_most_once,omitempty"`
+		BelowPrefix  bool              `json:"below_prefix,omitempty"`
+		Objective    string            `json:"objective,omitempty"`
+		Priority     int               `json:"priority,omitempty"`
+		MaxAttempts  int               `json:"max_attempts,omitempty"`
 	}
 	headerJSON struct {
 		Name  string `json:"name"`
@@ -103,9 +107,23 @@
 	if err := r.Problems().Err(); err != nil {
 		return router.Profile{}, err
 	}
-	slices.SortFunc(p.Services, func(a, b router.Service) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(p.Routes, func(a, b router.Route) int { return strings.Compare(a.Name, b.Name) })
-	return p, nil
+	return p.Sorted(), nil
+}
+
+// DefaultService returns a service with the defaults of every field.
+func DefaultService(name string) router.Service {
+	return router.Service{
+		Name:    name,
+		Timeout: defaultTimeout,
+		Retry:   router.RetryPolicy{MaxAttempts: defaultMaxAttempts, BudgetPercent: defaultBudgetPercent},
+		Limits: router.Limits{
+			Slots:        defaultSlots,
+			Connections:  defaultConnections,
+			Queue:        defaultQueue,
+			MaxBodyBytes: defaultBodyBytes,
+		},
+		KeyWindow: defaultKeyWindow,
+	}
 }
 
 func readProfile(o *parser.Object) router.Profile {
@@ -164,6 +182,12 @@
 		Methods:    o.Texts("methods", "an HTTP method", nil),
 		Timeout:    o.Duration("timeout", 0, minTimeout, maxTimeout),
 		Idempotent: o.Flag("idempotent"),
+
+		AtMostOnce:  o.Flag("at_most_once"),
+		BelowPrefix: o.Flag("below_prefix"),
+		Objective:   o.Duration("objective", 0, minTimeout, maxTimeout),
+		Priority:    int(o.Number("priority", 0, 0, maxPriority)),
+		MaxAttempts: int(o.Number("max_attempts", 0, 0, maxAttempts)),
 	}
 	for _, h := range o.Objects("headers") {
 		t.Headers = append(t.Headers, readHeader(h))
@@ -250,6 +274,12 @@
 		Methods:    t.Methods,
 		Timeout:    formatOptional(t.Timeout),
 		Idempotent: t.Idempotent,
+
+		AtMostOnce:  t.AtMostOnce,
+		BelowPrefix: t.BelowPrefix,
+		Objective:   formatOptional(t.Objective),
+		Priority:    t.Priority,
+		MaxAttempts: t.MaxAttempts,
 	}
 	for _, h := range t.Headers {
 		j.Headers = append(j.Headers, headerJSON{Name: h.Name, Value: h.Value})
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -9,11 +9,15 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 )
 
 const (
-	// holdBytes is the size up to which an answer is held until complete.
-	holdBytes   = 256 << 10
+	// holdBytes is the size up to which an answer is held until complete: above
+	// the largest downloads of the users' deployments, and small against the
+	// memory of a node.
+	holdBytes   = 1 << 20
 	streamBytes = 32 << 10
 	// stallBound is how long a reader may take for one part of an answer.
 	stallBound = 30 * time.Second
@@ -32,28 +36,32 @@
 	rest io.ReadCloser
 }
 
-// hold reads the body of r until it is complete or too large to be held.
-func hold(r *http.Response) (*answer, error) {
-	a := &answer{status: r.StatusCode, header: r.Header, length: r.ContentLength}
-	if r.ContentLength > holdBytes {
+// hold reads the body of r, the answer to a request with method, until it is
+// complete or too large to be held.
+func hold(r *exchanger.Response, method string) (*answer, error) {
+	a := &answer{status: r.Status, header: r.Header, length: r.Length}
+	if r.Length > holdBytes {
 		a.rest = r.Body
 		return a, nil
 	}
 	var b bytes.Buffer
-	_, err := io.CopyN(&b, r.Body, holdBytes)
-	a.held = b.Bytes()
-	if errors.Is(err, io.EOF) {
-		_ = r.Body.Close()
-		if r.Request == nil || r.Request.Method != http.MethodHead {
-			a.length = int64(len(a.held))
-		}
-		return a, nil
+	if r.Length > 0 {
+		b.Grow(int(r.Length) + bytes.MinRead)
 	}
+	n, err := b.ReadFrom(io.LimitReader(r.Body, holdBytes))
+	a.held = b.Bytes()
 	if err != nil {
 		_ = r.Body.Close()
 		return nil, err
 	}
-	a.rest = r.Body
+	if n == holdBytes {
+		a.rest = r.Body
+		return a, nil
+	}
+	_ = r.Body.Close()
+	if method != http.MethodHead {
+		a.length = n
+	}
 	return a, nil
 }
 
@@ -67,6 +75,13 @@
 	return a
 }
 
+// discard gives up an answer that is not passed on. It does nothing on nil.
+func (a *answer) discard() {
+	if a != nil && a.rest != nil {
+		_ = a.rest.Close()
+	}
+}
+
 type cancelBody struct {
 	io.ReadCloser
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -2,164 +2,304 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/dragonflydoor/dragonflydoor/internal/balancer"
+	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
+	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
 )
 
+const (
+	// maxPlacements bounds the gates that are asked to take one attempt, and
+	// eagerPlacements those that are asked for a slot that is free right now.
+	maxPlacements   = 6
+	eagerPlacements = 2
+	// settleBound is how long a lost attempt may take to be settled: a few
+	// round trips, and a new connection.
+	settleBound = 400 * time.Millisecond
+	// wayBack is what the last hop of an answer takes, so that a gate's refusal
+	// arrives before the entry gives up.
+	wayBack = 5 * time.Millisecond
+)
+
+// errNoTarget reports that there is nothing left to try.
+var errNoTarget = judge.Unavailable.NewSubtype("no_target")
+
 // run makes attempts until one is answered or no other is allowed.
 func (e *Entry) run(j *job) (*answer, error) {
-	e.budget.Deposit(j.service)
-	for n := 1; ; n++ {
-		a, err := e.attempt(j, n)
-		if err == nil {
+	e.budget.Deposit(j.service, e.nodes())
+	var failure *answer
+	for {
+		a, err := e.place(j)
+		if err == nil && (a.status < http.StatusInternalServerError || !j.repeatable()) {
 			return a, nil
 		}
-		j.ran = j.ran || judge.Of(err) == judge.MayHaveRun
-		if !e.again(j, n, err) {
-			return nil, j.verdict(err)
+		if err == nil {
+			failure.discard()
+			failure = a
+		}
+		if !e.again(j, err) {
+			break
 		}
 		e.stats.Retries.Add(1)
 	}
+	if failure != nil {
+		return failure, nil
+	}
+	return nil, j.verdict(j.failure)
 }
 
-func (e *Entry) again(j *job, n int, err error) bool {
+// again decides whether a request that failed with err, or was answered with a
+// failure when err is nil, is sent to another target.
+func (e *Entry) again(j *job, err error) bool {
+	v := judge.MayHaveRun
+	if err != nil {
+		j.failure = err
+		v = judge.Of(err)
+	}
 	a := retrier.Attempt{
-		Number:     n,
-		Verdict:    judge.Of(err),
-		Idempotent: j.idempotent(),
+		Number:     j.sends,
+		Verdict:    v,
+		Idempotent: j.repeatable(),
 		Replayable: j.body.replayable(),
 	}
-	if judge.Is(err, errCrashed) || judge.Is(err, errQuarantined) {
+	switch {
+	case judge.Is(err, errCrashed), judge.Is(err, errQuarantined), judge.Is(err, errNoTarget), notTaken(err):
 		return false
-	}
-	if judge.Is(err, errNoTarget) || j.ctx.Err() != nil || !time.Now().Before(j.deadline) {
+	case j.ctx.Err() != nil || !time.Now().Before(j.deadline.Add(-wayBack)):
 		return false
-	}
-	if j.request.Header.Get(RetryHeader) != "" {
+	case e.dialect.Reserved == ownPrefix && j.request.Header.Get(RetryHeader) != "":
 		return false
 	}
-	return a.Allowed(j.service.Retry) && e.budget.Withdraw(j.service)
+	return a.Allowed(j.route.Attempts(j.service)) && e.budget.Withdraw(j.service, e.nodes())
 }
 
-// errNoTarget reports that there is nothing left to try.
-var errNoTarget = judge.Unavailable.NewSubtype("no_target")
+// notTaken reports that no gate handed the request to its target, so that
+// trying elsewhere costs no target anything.
+func notTaken(err error) bool {
+	return err != nil && judge.Of(err) == judge.NotRun && !judge.Is(err, errRejected)
+}
 
-// attempt makes one call and returns its whole answer, or the start of a
-// large one.
-func (e *Entry) attempt(j *job, n int) (*answer, error) {
-	p, ok := e.pick(j)
-	if !ok {
-		return nil, judge.Error(errNoTarget, judge.NotRun, "service %q has no target to try", j.service.Name)
+// place offers the request to one gate after another until one takes it: first
+// for a slot that is free now, then for a place in a queue.
+func (e *Entry) place(j *job) (*answer, error) {
+	var refusal error
+	for n := 0; n < maxPlacements; n++ {
+		p, more := e.pick(j)
+		if p.Address == "" {
+			break
+		}
+		a, err := e.attempt(j, p, n < eagerPlacements && more)
+		if !notTaken(err) || judge.Is(err, errQuarantined) {
+			return a, err
+		}
+		refusal = better(refusal, err)
+		if j.ctx.Err() != nil || !time.Now().Before(j.deadline.Add(-wayBack)) {
+			break
+		}
+		if n+1 == eagerPlacements {
+			// Whoever had no free slot may have a place in the queue.
+			clear(j.refused)
+		}
 	}
-	j.tried[p.Address] = true
-	end := e.balancer.Start(p, time.Now())
-	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
-	a, err := e.exchange(ctx, j, p, n)
-	end(outcomeOf(err), time.Now())
-	if err != nil {
-		cancel()
-		return nil, err
+	if refusal == nil {
+		refusal = judge.Error(errNoTarget, judge.NotRun, "service %q has no target to try", j.service.Name)
 	}
-	release()
-	return a.closing(cancel), nil
+	return nil, refusal
+}
+
+// better returns the refusal that tells the caller more: the one with the
+// shortest wait.
+func better(a, b error) error {
+	if a == nil {
+		return b
+	}
+	x, ok := judge.WaitOf(a)
+	y, k := judge.WaitOf(b)
+	if !ok || (k && y < x) {
+		return b
+	}
+	return a
 }
 
 // pick chooses a target that was not tried yet, or else one that was: a new
-// connection may do better.
-func (e *Entry) pick(j *job) (gossiper.Endpoint, bool) {
-	p, ok := e.pickUntried(j)
-	if ok || len(j.tried) == 0 {
-		return p, ok
-	}
-	clear(j.tried)
-	return e.pickUntried(j)
+// connection may do better. More says that there are others to try.
+func (e *Entry) pick(j *job) (p gossiper.Endpoint, more bool) {
+	tried := make(map[string]bool, len(j.refused)+len(j.ran))
+	for a := range j.refused {
+		tried[a] = true
+	}
+	for a := range j.ran {
+		tried[a] = true
+	}
+	p, more, ok := e.pickUntried(j, tried)
+	if ok || len(j.ran) == 0 || len(j.refused) > 0 {
+		return p, more
+	}
+	p, more, _ = e.pickUntried(j, nil)
+	return p, more
 }
 
 // pickUntried chooses a target of the service, or of its fallbacks when it
 // has none.
-func (e *Entry) pickUntried(j *job) (gossiper.Endpoint, bool) {
+func (e *Entry) pickUntried(j *job, tried map[string]bool) (p gossiper.Endpoint, more, ok bool) {
 	v := e.view()
+	q := balancer.Query{
+		DataCenter: e.dataCenter,
+		Node:       e.node,
+		Class:      j.route.Name,
+		Objective:  j.route.Objective,
+		Tried:      tried,
+	}
 	for range len(j.profile.Services) {
 		l := v.Service(j.service.Name)
-		if p, ok := e.balancer.Pick(l, e.dataCenter, j.tried, time.Now()); ok {
-			return p, true
+		if p, ok = e.balancer.Pick(l, q, time.Now()); ok {
+			return p, len(l) > len(tried)+1, true
 		}
-		s, ok := j.profile.Service(j.service.Fallback)
-		if !ok {
+		s, found := j.profile.Service(j.service.Fallback)
+		if !found {
 			break
 		}
 		j.service = s
 	}
-	return gossiper.Endpoint{}, false
+	return gossiper.Endpoint{}, false, false
 }
 
-func (e *Entry) exchange(ctx context.Context, j *job, p gossiper.Endpoint, n int) (*answer, error) {
-	c := j.call(p, n)
-	r, err := e.send(ctx, c, p)
+// attempt makes one call and returns its whole answer, or the start of a
+// large one.
+func (e *Entry) attempt(j *job, p gossiper.Endpoint, immediate bool) (*answer, error) {
+	j.target = p.Address
+	c := e.call(j, p)
+	c.immediate = immediate
+	end := e.balancer.Start(p, time.Now())
+	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
+	a, err := e.send(ctx, c, p)
+	end(outcomeOf(ctx, a, err), time.Now())
 	if err != nil {
+		cancel()
+		e.note(j, p, err)
 		return nil, err
 	}
-	a, err := hold(r)
-	if err != nil {
-		return nil, classify(ctx, err, judge.MayHaveRun, "answer of "+p.Address)
+	j.sends++
+	j.ran[p.Address] = true
+	release()
+	return a.closing(cancel), nil
+}
+
+// note remembers what a failed attempt means for the next one.
+func (e *Entry) note(j *job, p gossiper.Endpoint, err error) {
+	e.lines.Info("Attempt failed", "request", j.id, "route", j.route.Name, "target", p.Address, "node", p.Node,
+		"verdict", judge.Of(err), "reason", reasonOf(err), "cause", messageOf(err), "left", time.Until(j.deadline).Round(time.Millisecond))
+	if notTaken(err) {
+		j.refused[p.Address] = true
+		return
 	}
-	stripOwn(a.header)
-	return a, nil
+	j.sends++
+	j.ran[p.Address] = true
+	j.doubtful = j.doubtful || judge.Of(err) == judge.MayHaveRun
 }
 
 // send hands c to the gate of endpoint p, here or on another node.
-func (e *Entry) send(ctx context.Context, c call, p gossiper.Endpoint) (*http.Response, error) {
+func (e *Entry) send(ctx context.Context, c call, p gossiper.Endpoint) (*answer, error) {
+	c.deadline = c.deadline.Add(-wayBack)
 	if p.Node == e.node {
-		return e.gate.do(ctx, c)
-	}
-	c.header.Set(gateServiceHeader, c.service)
-	c.header.Set(gateTargetHeader, c.target)
-	c.header.Set(gateFingerprintHeader, formatFingerprint(c.fingerprint))
-	c.header.Set(DeadlineHeader, formatLeft(c.deadline, time.Now()))
-	var f flight
-	r, err := e.transport.RoundTrip(c.newRequest(f.trace(ctx), p.PeerAddress, GatePath))
+		a, err := e.gate.do(ctx, c)
+		e.balancer.Learn(p.Address, c.class, e.gate.load(c), time.Now())
+		return a, err
+	}
+	a, err := e.sendRemote(ctx, c, p)
+	if err == nil || c.repeatable || judge.Of(err) == judge.NotRun || !judge.Is(err, judge.Interrupted) || ctx.Err() != nil {
+		return a, err
+	}
+	var x *exchanger.Error
+	if errors.As(err, &x) && e.settle(ctx, c, p) {
+		return nil, judge.Wrap(err, errUnreachable, judge.NotRun, "node %s had not begun the call", p.Node)
+	}
+	return nil, err
+}
+
+func (e *Entry) sendRemote(ctx context.Context, c call, p gossiper.Endpoint) (*answer, error) {
+	c.header.Set(HopHeader, c.format())
+	c.header.Set(e.dialect.Deadline, formatLeft(c.deadline, time.Now()))
+	r, err := e.peers.Do(ctx, p.PeerAddress, c.exchange(e.dialect.Request))
 	if err != nil {
-		return nil, classify(ctx, err, f.sharedVerdict(), "node "+p.Node)
+		return nil, classify(ctx, err, "node "+p.Node)
 	}
-	if err := checkAnswer(r, c, p); err != nil {
+	t, ok := parseReport(r.Header.Get(HopHeader))
+	if !ok {
 		_ = r.Body.Close()
-		return nil, err
+		return nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "node %s answered without %s", p.Node, HopHeader)
 	}
-	return r, nil
+	if t.load != (gatekeeper.Load{}) {
+		e.balancer.Learn(p.Address, c.class, t.load, time.Now())
+	}
+	a, err := hold(r, c.method)
+	if t.refused {
+		return nil, refusalError(t, p)
+	}
+	if err != nil {
+		return nil, classify(ctx, err, "answer of node "+p.Node)
+	}
+	stripHop(a.header)
+	e.dialect.strip(a.header)
+	return a, nil
 }
 
-// checkAnswer returns the refusal that another node answered with, or an error
-// if the answer is to another request.
-func checkAnswer(r *http.Response, c call, p gossiper.Endpoint) error {
-	if id := r.Header.Get(RequestHeader); id != c.request {
-		return judge.Error(judge.Interrupted, judge.MayHaveRun, "node %s answered request %q instead", p.Node, id)
+// settle asks the gate of a call whose connection was lost whether it may have
+// run, and reports true if it has not and never will.
+func (e *Entry) settle(ctx context.Context, c call, p gossiper.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, settleBound)
+	defer cancel()
+	q := call{
+		hop:     hop{purpose: toSettle, attempt: c.attempt, repeatable: true},
+		method:  http.MethodPost,
+		uri:     "/",
+		host:    c.host,
+		request: c.request,
+		header:  http.Header{e.dialect.Request: {c.request}},
 	}
-	if r.Header.Get(gateVerdictHeader) != "" {
-		return gateError(r, p)
+	q.header.Set(HopHeader, q.format())
+	r, err := e.peers.Do(ctx, p.PeerAddress, q.exchange(e.dialect.Request))
+	if err != nil {
+		klog.InfoS("Attempt could not be settled", "request", c.request, "node", p.Node, "cause", err)
+		return false
 	}
-	return nil
+	defer func() { _ = r.Body.Close() }()
+	t, ok := parseReport(r.Header.Get(HopHeader))
+	_, _ = hold(r, q.method)
+	return ok && t.refused && t.verdict == judge.NotRun
 }
 
-// gateError turns the refusal of another node's gate into an error.
-func gateError(r *http.Response, p gossiper.Endpoint) error {
-	v := judge.Parse(r.Header.Get(gateVerdictHeader))
-	w := Reason(r.Header.Get(gateReasonHeader))
-	return judge.Error(kindOf(w), v, "target %s of node %s: %s", p.Address, p.Node, w)
+// refusalError turns the refusal of another node's gate into an error.
+func refusalError(t report, p gossiper.Endpoint) error {
+	err := judge.Error(kindOf(t.reason), t.verdict, "target %s of node %s: %s", p.Address, p.Node, t.reason)
+	if t.wait > 0 {
+		err = judge.WithWait(err, t.wait)
+	}
+	return err
 }
 
-func outcomeOf(err error) balancer.Outcome {
+func outcomeOf(ctx context.Context, a *answer, err error) balancer.Outcome {
 	switch {
-	case err == nil:
+	case err == nil && a.status < http.StatusInternalServerError:
 		return balancer.Answered
+	case err == nil, judge.Is(err, errRejected):
+		return balancer.Failed
 	case judge.Is(err, errQuarantined):
 		return balancer.Answered
 	case judge.Is(err, judge.Overloaded):
 		return balancer.Shed
+	case judge.Is(err, errUnreachable) && ctx.Err() == nil:
+		return balancer.Unreachable
+	case ctx.Err() != nil, judge.Is(err, judge.TimedOut):
+		return balancer.Cancelled
 	case judge.Is(err, judge.Unavailable), judge.Is(err, judge.NotFound):
 		return balancer.Departed
 	}
--- a/internal/forwarder/call_test.go
+++ b/internal/forwarder/call_test.go
@@ -6,13 +6,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
@@ -32,16 +30,17 @@
 		h.Set("Idempotency-Key", "k")
 	}
 	return call{
-		method: method, host: "x", uri: &url.URL{Path: "/x"}, header: h, body: strings.NewReader(body),
-		length: int64(len(body)), request: "1", service: "s", target: target, deadline: time.Now().Add(2 * time.Second),
+		hop:    hop{purpose: toGate, service: "s", target: target, repeatable: method == http.MethodGet},
+		method: method, host: "x", uri: "/x", header: h, body: strings.NewReader(body),
+		length: int64(len(body)), request: "1", deadline: time.Now().Add(2 * time.Second),
 	}
 }
 
 func newGate(t *testing.T, target string) *Gate {
 	t.Helper()
 	var r registrar.Registrar
-	r.Announce(gossiper.Target{Service: "s", Address: target}, router.Limits{Slots: 4, Connections: 4}, time.Now())
-	return NewGate(&r, nobody{}, &meter.Traffic{})
+	r.Announce(registrar.Announcement{Service: "s", Address: target}, router.Limits{Slots: 4, Connections: 4}, time.Now())
+	return NewGate(&r, nobody{}, OwnDialect, &meter.Traffic{})
 }
 
 // TestBrokenCallsAreNeverRepeatedByTheTransport serves one request on a kept
@@ -61,12 +60,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			a, read := breakingTarget(t)
 			g := newGate(t, a)
-			r, err := g.do(t.Context(), newCall(a, http.MethodGet, "", false))
+			_, err := g.do(t.Context(), newCall(a, http.MethodGet, "", false))
 			if err != nil {
 				t.Fatal(err)
 			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			_ = r.Body.Close()
 			_, err = g.do(t.Context(), newCall(a, c.method, c.body, c.key))
 			if judge.Of(err) != judge.MayHaveRun || err == nil {
 				t.Errorf("got %v", err)
@@ -135,7 +132,7 @@
 
 func TestTargetCanNotSpeakForTheGate(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(gateVerdictHeader, "not_run")
+		w.Header().Set(HopHeader, "not_run")
 		w.Header().Set(VerdictHeader, "not_run")
 		w.Header().Set("Keep-Alive", "x")
 		w.Header().Set("X-Kept", "y")
@@ -146,35 +143,53 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = r.Body.Close() }()
-	for _, h := range []string{gateVerdictHeader, VerdictHeader, "Keep-Alive"} {
-		if v := r.Header.Get(h); v != "" {
+	for _, h := range []string{HopHeader, VerdictHeader, "Keep-Alive"} {
+		if v := r.header.Get(h); v != "" {
 			t.Errorf("%s: %s was passed on", h, v)
 		}
 	}
-	if r.Header.Get("X-Kept") != "y" {
+	if r.header.Get("X-Kept") != "y" {
 		t.Error("the target's own header is lost")
 	}
 }
 
 func TestSlotIsHeldUntilTheAnswerIsRead(t *testing.T) {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "answer")
-	}))
-	defer s.Close()
-	a := s.Listener.Addr().String()
-	g := newGate(t, a)
-	r, err := g.do(t.Context(), newCall(a, http.MethodGet, "", false))
-	if err != nil {
-		t.Fatal(err)
-	}
-	x, _ := g.registrar.Find("s", a)
-	if n := x.Gate.Running(); n != 1 {
-		t.Errorf("%d running before the answer was read", n)
+	tests := []struct {
+		name  string
+		bytes int
+		held  int
+	}{
+		{"an answer that is held whole has been read", holdBytes - 1, 0},
+		{"a large answer is still to be read", holdBytes + 1, 1},
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	_ = r.Body.Close()
-	if n := x.Gate.Running(); n != 0 {
-		t.Errorf("%d running after the answer was read", n)
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, c.bytes))
+			}))
+			defer s.Close()
+			a := s.Listener.Addr().String()
+			g := newGate(t, a)
+			r, err := g.do(t.Context(), newCall(a, http.MethodGet, "", false))
+			if err != nil {
+				t.Fatal(err)
+			}
+			x, _ := g.registrar.Find("s", a)
+			if n := x.Gate.Running(); n != c.held {
+				t.Errorf("%d running before the answer was passed on, expected %d", n, c.held)
+			}
+			n := len(r.held)
+			if r.rest != nil {
+				k, _ := io.Copy(io.Discard, r.rest)
+				_ = r.rest.Close()
+				n += int(k)
+			}
+			if n != c.bytes {
+				t.Errorf("%d bytes, expected %d", n, c.bytes)
+			}
+			if n := x.Gate.Running(); n != 0 {
+				t.Errorf("%d running after the answer was read", n)
+			}
+		})
 	}
 }
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -3,21 +3,21 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"hash/fnv"
 	"io"
 	"net"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
 	crashChecks      = 4
-	crashCheckPause  = 30 * time.Millisecond
+	crashCheckPause  = 20 * time.Millisecond
 	crashDialTimeout = 100 * time.Millisecond
 )
 
@@ -44,15 +44,19 @@
 }
 
 // crashed reports whether nothing listens at a target's address any more. A
-// target that merely broke a connection goes on listening.
-func crashed(ctx context.Context, target string) bool {
+// target that merely broke a connection goes on listening, and keeps its other
+// connections open.
+func (g *Gate) crashed(ctx context.Context, target string) bool {
 	for range crashChecks {
+		if !sleeper.Sleep(ctx, crashCheckPause) || g.client.Alive(target) {
+			return false
+		}
 		c, err := (&net.Dialer{Timeout: crashDialTimeout}).DialContext(ctx, "tcp", target)
 		if err != nil {
-			return refused(err)
+			var o *net.OpError
+			return errors.As(err, &o) && !o.Timeout() && ctx.Err() == nil
 		}
 		_ = c.Close()
-		time.Sleep(crashCheckPause)
 	}
 	return false
 }
@@ -65,35 +69,18 @@
 	return h.Sum64()
 }
 
-// volatileHeaders differ between equal requests.
-var volatileHeaders = [...]string{
-	"Traceparent", "Tracestate", "B3", "X-Request-Id", "X-Correlation-Id", "Date",
-	"Idempotency-Key", "X-Forwarded-For", "User-Agent",
-}
-
 // unknownFingerprint stands for a request whose body is too large to be held.
 const unknownFingerprint quarantiner.Fingerprint = 0
 
 // fingerprint hashes what makes two requests equal: service, method, path,
-// headers and body.
-func (j *job) fingerprint() quarantiner.Fingerprint {
+// the service that they come from, and body.
+func (j *job) fingerprint(origin string) quarantiner.Fingerprint {
 	if j.body.rest != nil {
 		return unknownFingerprint
 	}
 	h := fnv.New64a()
 	r := j.request
-	add(h, j.service.Name, r.Method, r.URL.RequestURI())
-	n := make([]string, 0, len(r.Header))
-	for k := range r.Header {
-		if !strings.HasPrefix(k, ownPrefix) && !slices.Contains(volatileHeaders[:], k) {
-			n = append(n, k)
-		}
-	}
-	slices.Sort(n)
-	for _, k := range n {
-		add(h, k)
-		add(h, r.Header.Values(k)...)
-	}
+	add(h, j.service.Name, r.Method, r.URL.RequestURI(), origin)
 	_, _ = h.Write(j.body.kept)
 	return quarantiner.Fingerprint(h.Sum64())
 }
--- /dev/null
+++ b/internal/forwarder/dialect.go
@@ -0,0 +1,38 @@
+package forwarder
+
+// Dialect names the headers that callers and targets use. Headers with an
+// empty name are not used.
+type Dialect struct {
+	// Request identifies a request on all its hops.
+	Request string
+	// Deadline carries the time left for a request, in milliseconds.
+	Deadline string
+	// Verdict tells the caller whether a refused request may have run.
+	Verdict string
+	// Profile tells the caller which profile and version routed the request.
+	Profile string
+	// Instance names the life of the target that is meant; any other refuses.
+	Instance string
+	// NotRun marks answers of targets that did not run the request.
+	NotRun string
+	// Signature is on every genuine answer of a target that ran the request.
+	Signature string
+	// Origin names the service beside which the request began.
+	Origin string
+	// EchoesRequest says that targets repeat Request in their answers.
+	EchoesRequest bool
+	// FineRetryAfter allows fractions of seconds in Retry-After.
+	FineRetryAfter bool
+	// Reserved is the prefix of headers that only nodes may set: neither callers
+	// nor targets can speak for a node.
+	Reserved string
+}
+
+// OwnDialect is the product's own.
+var OwnDialect = Dialect{
+	Request:  RequestHeader,
+	Deadline: DeadlineHeader,
+	Verdict:  VerdictHeader,
+	Profile:  ProfileHeader,
+	Reserved: ownPrefix,
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,13 +10,16 @@
 
 	"github.com/dragonflydoor/dragonflydoor/internal/balancer"
 	"github.com/dragonflydoor/dragonflydoor/internal/deduplicator"
+	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
+	"github.com/dragonflydoor/dragonflydoor/internal/logger"
+	"github.com/dragonflydoor/dragonflydoor/internal/postponer"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
 const (
-	logPrefix       = "forwarder: "
 	requestIDBytes  = 8
 	maxRequestID    = 64
 	maxCallDeadline = time.Hour
@@ -23,20 +27,27 @@
 
 // Entry takes requests from callers and brings back whole answers.
 type Entry struct {
-	holder    *holder.Holder
-	view      func() *gossiper.View
-	gate      *Gate
-	transport http.RoundTripper
-	balancer  balancer.Balancer
-	budget    retrier.Budget
-	keys      deduplicator.Table[*answer]
-	trusted   func(service string) time.Time
-	stats     *Stats
+	holder   *holder.Holder
+	view     func() *gossiper.View
+	gate     *Gate
+	peers    *exchanger.Client
+	balancer balancer.Balancer
+	budget   retrier.Budget
+	spreader router.Spreader
+	keys     deduplicator.Table[*answer]
+	trusted  func(service string) time.Time
+	stats    *Stats
+	lines    *logger.Lines
+	dialect  Dialect
 
 	node       string
 	dataCenter string
 	profile    atomic.Pointer[string]
-	draining   atomic.Bool
+	beside     atomic.Pointer[beside]
+	// stopping closes callers' connections after each answer, refusing takes
+	// no more requests.
+	stopping atomic.Bool
+	refusing atomic.Bool
 }
 
 // Where names the node that an entry belongs to and its profile.
@@ -44,6 +55,10 @@
 	Node       string
 	DataCenter string
 	Profile    string
+	// Service is the service beside the node, and TargetHost the IP number of
+	// its target.
+	Service    string
+	TargetHost string
 }
 
 // Mesh is what an entry knows of the other nodes.
@@ -55,22 +70,56 @@
 	Trusted(service string) time.Time
 }
 
-// NewEntry returns an entry that reaches other nodes through t.
-func NewEntry(h *holder.Holder, m Mesh, g *Gate, t http.RoundTripper, s *Stats, w Where) *Entry {
+// Parts are what an entry is made of.
+type Parts struct {
+	Holder *holder.Holder
+	Mesh   Mesh
+	Gate   *Gate
+	// Peers reaches other nodes.
+	Peers *exchanger.Client
+	Stats *Stats
+	Lines *logger.Lines
+	// RetryPercent and RetrySlack bound the retries of the whole fleet.
+	RetryPercent int
+	RetrySlack   float64
+}
+
+// NewEntry returns an entry made of p.
+func NewEntry(p Parts, d Dialect, w Where) *Entry {
 	e := &Entry{
-		holder:     h,
-		view:       m.View,
-		trusted:    m.Trusted,
-		gate:       g,
-		transport:  t,
-		stats:      s,
+		holder:     p.Holder,
+		view:       p.Mesh.View,
+		trusted:    p.Mesh.Trusted,
+		gate:       p.Gate,
+		peers:      p.Peers,
+		stats:      p.Stats,
+		lines:      p.Lines,
+		budget:     retrier.Budget{Percent: p.RetryPercent, Slack: p.RetrySlack},
+		dialect:    d,
 		node:       w.Node,
 		dataCenter: w.DataCenter,
 	}
+	e.Beside(w.Service, w.TargetHost)
 	e.profile.Store(&w.Profile)
 	return e
 }
 
+// nodes returns the number of nodes that share the budget of retries.
+func (e *Entry) nodes() int {
+	return e.view().Usable()
+}
+
+// beside is what stands beside the node.
+type beside struct {
+	service    string
+	targetHost string
+}
+
+// Beside changes the service beside the node and the IP number of its target.
+func (e *Entry) Beside(service, targetHost string) {
+	e.beside.Store(&beside{service: service, targetHost: targetHost})
+}
+
 // UseProfile changes the profile that routes requests.
 func (e *Entry) UseProfile(name string) {
 	e.profile.Store(&name)
@@ -81,9 +130,21 @@
 	return *e.profile.Load()
 }
 
-// Drain makes the entry refuse new requests.
-func (e *Entry) Drain() {
-	e.draining.Store(true)
+// Stop makes the entry close callers' connections after each answer, so that
+// they go elsewhere.
+func (e *Entry) Stop() {
+	e.stopping.Store(true)
+}
+
+// Refuse makes the entry refuse new requests.
+func (e *Entry) Refuse() {
+	e.stopping.Store(true)
+	e.refusing.Store(true)
+}
+
+// Draining reports whether a stop has begun.
+func (e *Entry) Draining() bool {
+	return e.stopping.Load()
 }
 
 // Ejected returns how many targets are left alone for their failures.
@@ -94,36 +155,45 @@
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.stats.Requests.Add(1)
-	j := newJob(r)
-	w.Header().Set(RequestHeader, j.id)
+	j := e.newJob(r)
+	w.Header().Set(e.dialect.Request, j.id)
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if f, ok := e.prepare(w, j); !ok {
 		e.refuse(w, j, f)
 		return
 	}
-	w.Header().Set(ProfileHeader, j.profile.Name+"@"+j.profile.Digest.Short())
+	if e.dialect.Profile != "" {
+		w.Header().Set(e.dialect.Profile, j.profile.Name+"@"+j.profile.Digest.Short())
+	}
 	a, err := e.runKeyed(j)
 	if err != nil {
 		e.refuse(w, j, refusalOf(err))
 		return
 	}
+	e.stats.observe(time.Since(j.arrived))
+	e.lines.Info("Request answered", "request", j.id, "route", j.route.Name, "target", j.target, "status", a.status,
+		"sends", j.sends, "took", time.Since(j.arrived).Round(time.Microsecond), "generation", e.holder.Current().Generation())
 	if err := a.write(w); err != nil {
 		e.stats.Cut.Add(1)
-		klog.Warningf(logPrefix+"Request %s: The answer was cut short: %v", j.id, err)
+		klog.InfoS("Answer was cut short", "request", j.id, "target", j.target, "cause", err)
 		panic(http.ErrAbortHandler)
 	}
 }
 
 func (e *Entry) refuse(w http.ResponseWriter, j *job, f Refusal) {
 	f.Request = j.id
-	if f.Reason == Draining {
+	if f.Reason == Draining || f.Reason == BadRequest {
 		w.Header().Set("Connection", "close")
 	}
-	e.stats.refused(f.Verdict)
-	klog.V(1).Infof(logPrefix+"Request %s: Refused, %s, %s: %s", j.id, f.Reason, f.Verdict, f.Message)
-	f.write(w)
-}
-
-// Draining reports whether new requests are refused.
-func (e *Entry) Draining() bool {
-	return e.draining.Load()
+	e.stats.refused(f)
+	if f.Status() == http.StatusServiceUnavailable {
+		f.RetryAfter = postponer.After(f.Wait, max(time.Until(j.deadline), 0), rand.Float64())
+	}
+	e.lines.Info("Request refused", "request", j.id, "route", j.route.Name, "target", j.target, "reason", f.Reason,
+		"verdict", f.Verdict, "cause", f.Message, "sends", j.sends, "retryAfter", f.RetryAfter.Round(time.Millisecond),
+		"took", time.Since(j.arrived).Round(time.Microsecond), "left", time.Until(j.deadline).Round(time.Millisecond),
+		"gone", j.ctx.Err() != nil, "generation", e.holder.Current().Generation())
+	f.write(w, e.dialect)
 }
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -4,14 +4,14 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
+	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
@@ -19,79 +19,115 @@
 )
 
 const (
-	// GatePath is the prefix of calls on a node's peer address.
-	GatePath = "/call"
-
-	targetDialBound   = 500 * time.Millisecond
-	targetIdleBound   = 30 * time.Second
-	targetHeaderBytes = 256 << 10
-	defaultDeadline   = 5 * time.Second
+	// targetDialBound is far above the time of a connection on one VM.
+	targetDialBound = 250 * time.Millisecond
+	// targetIdleBound is used for targets that do not say how long they keep
+	// idle connections.
+	targetIdleBound = 4 * time.Second
+	// targetUnsafeIdle bounds how long a connection may have been idle that
+	// carries a request which must not be repeated: a target that closes it at
+	// the same moment leaves the verdict open.
+	targetUnsafeIdle = time.Second
+	maxTargetIdle    = 64
+	defaultDeadline  = 5 * time.Second
+	// targetSends bounds how often a gate hands one call to its target.
+	targetSends = 2
+	// signOfLifePeriod is how often a gate tells the entry that it still waits
+	// for the target.
+	signOfLifePeriod = 150 * time.Millisecond
 )
 
 // Gate hands calls to the targets beside this node.
 type Gate struct {
 	registrar *registrar.Registrar
-	transport *http.Transport
+	client    *exchanger.Client
 	warden    Warden
+	dialect   Dialect
+	ledger    ledger
 }
 
 // NewGate returns the gate of the targets in r, which reports crashes to w.
-func NewGate(r *registrar.Registrar, w Warden, t *meter.Traffic) *Gate {
-	return &Gate{
-		registrar: r,
-		warden:    w,
-		transport: &http.Transport{
-			DialContext:            t.Dialer(&net.Dialer{Timeout: targetDialBound}),
-			MaxIdleConnsPerHost:    registrar.MaxIdleConnections,
-			IdleConnTimeout:        targetIdleBound,
-			MaxResponseHeaderBytes: targetHeaderBytes,
-			DisableCompression:     true,
-		},
-	}
-}
-
-// do hands c to its target. The error carries a verdict.
-func (g *Gate) do(ctx context.Context, c call) (*http.Response, error) {
+func NewGate(r *registrar.Registrar, w Warden, d Dialect, t *meter.Traffic) *Gate {
+	o := exchanger.Options{
+		DialBound:  targetDialBound,
+		IdleBound:  targetIdleBound,
+		UnsafeIdle: targetUnsafeIdle,
+		MaxIdle:    maxTargetIdle,
+	}
+	return &Gate{registrar: r, warden: w, dialect: d, client: exchanger.New(o, t)}
+}
+
+// Sweep closes connections that have been idle for too long.
+func (g *Gate) Sweep(now time.Time) {
+	g.client.Sweep(now)
+}
+
+// Connections returns how many connections to targets were opened and how
+// often one was used again.
+func (g *Gate) Connections() exchanger.Stats {
+	return g.client.Stats()
+}
+
+var (
+	// errRejected reports that a target answered that it did not run a call.
+	errRejected = judge.Overloaded.NewSubtype("rejected")
+	// errSpoiled reports an answer that is not the target's whole answer.
+	errSpoiled = judge.Interrupted.NewSubtype("spoiled")
+)
+
+// do hands c to its target and returns the whole answer, or the start of a
+// large one. The error carries a verdict.
+func (g *Gate) do(ctx context.Context, c call) (*answer, error) {
 	t, ok := g.registrar.Find(c.service, c.target)
-	if !ok {
+	if !ok || t.Down {
 		return nil, judge.Error(judge.NotFound, judge.NotRun, "gate: no target of %s at %s", c.service, c.target)
 	}
 	ctx, release, cancel := limitUntilAnswer(ctx, c.deadline)
-	leave, err := t.Gate.Enter(ctx, c.deadline)
+	p, err := t.Gate.Enter(ctx, c.ticket())
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	r, err := g.run(ctx, c, t)
-	if err != nil {
+	a, err := g.run(ctx, c, t)
+	if err != nil || a.rest == nil {
+		p.Leave(resultOf(ctx, a, err))
 		cancel()
-		leave()
-		return nil, err
+		return a, err
 	}
 	release()
-	stripHop(r.Header)
-	stripOwn(r.Header)
-	r.Body = &leavingBody{ReadCloser: r.Body, leave: leave, cancel: cancel}
-	return r, nil
+	a.rest = &leavingBody{ReadCloser: a.rest, leave: p.Leave, cancel: cancel}
+	return a, nil
+}
+
+func resultOf(ctx context.Context, a *answer, err error) gatekeeper.Result {
+	switch {
+	case err == nil && a.status < http.StatusInternalServerError:
+		return gatekeeper.Answered
+	case err == nil:
+		return gatekeeper.Failed
+	case ctx.Err() != nil, judge.Of(err) == judge.NotRun:
+		return gatekeeper.Abandoned
+	}
+	return gatekeeper.Failed
 }
 
 // run sends c to target t, unless equal requests have crashed targets, and
 // finds out whether a broken call was a crash.
-func (g *Gate) run(ctx context.Context, c call, t registrar.Target) (*http.Response, error) {
+func (g *Gate) run(ctx context.Context, c call, t registrar.Target) (*answer, error) {
 	if g.warden.Blocked(c.fingerprint) {
 		return nil, quarantined()
 	}
 	n := t.Gate.Running()
-	r, err := g.send(ctx, c)
+	a, err := g.send(ctx, c, t)
 	if err == nil {
 		g.clear(c.service, c.fingerprint)
-		return r, nil
+		return a, nil
 	}
-	if !judge.Is(err, judge.Interrupted) || judge.Of(err) == judge.NotRun || ctx.Err() != nil || !crashed(ctx, c.target) {
+	if !broken(err) || ctx.Err() != nil || !g.crashed(ctx, c.target) {
 		return nil, err
 	}
 	n = max(n, t.Gate.Running())
-	klog.Warningf("gate: Target %s crashed while it ran request %s.", c.target, c.request)
+	klog.InfoS("Target crashed while it ran a request", "request", c.request, "target", c.target, "instance", t.Instance, "running", n)
 	if c.fingerprint != unknownFingerprint {
 		g.warden.Strike(c.service, quarantiner.Strike{
 			Fingerprint: c.fingerprint,
@@ -99,10 +135,15 @@
 			Shared:      n > 1,
 		})
 	}
-	g.registrar.Remove(c.target)
+	g.registrar.Lose(c.target)
 	return nil, judge.Wrap(err, errCrashed, judge.MayHaveRun, "gate: target %s crashed", c.target)
 }
 
+// broken reports whether the target may have ended while it ran a call.
+func broken(err error) bool {
+	return judge.Is(err, judge.Interrupted) && !judge.Is(err, errSpoiled) && judge.Of(err) == judge.MayHaveRun
+}
+
 // clear takes strikes back from a request that was answered.
 func (g *Gate) clear(service string, f quarantiner.Fingerprint) {
 	if g.warden.Suspected(f) {
@@ -110,50 +151,98 @@
 	}
 }
 
-func (g *Gate) send(ctx context.Context, c call) (*http.Response, error) {
-	var f flight
+// send hands c to its target. A kept connection that broke before any byte of
+// the request left is replaced once.
+func (g *Gate) send(ctx context.Context, c call, t registrar.Target) (*answer, error) {
+	if !c.repeatable && c.attempt != "" && !g.ledger.send(c.attempt, time.Now()) {
+		return nil, judge.Error(judge.Interrupted, judge.NotRun, "gate: the entry has settled the attempt")
+	}
 	c.header = c.header.Clone()
-	c.header.Set(DeadlineHeader, formatLeft(c.deadline, time.Now()))
-	r, err := g.transport.RoundTrip(c.newRequest(f.trace(ctx), c.target, ""))
-	if err == nil {
-		return r, nil
+	if g.dialect.Instance != "" && t.Instance != "" {
+		c.header.Set(g.dialect.Instance, t.Instance)
+	}
+	for n := 1; ; n++ {
+		c.header.Set(g.dialect.Deadline, formatLeft(c.deadline, time.Now()))
+		r, err := g.client.Do(ctx, c.target, c.exchange(g.echo()))
+		if err == nil {
+			return g.take(ctx, c, r)
+		}
+		var x *exchanger.Error
+		if n >= targetSends || !errors.As(err, &x) || !x.Reused || x.Cause != exchanger.Broken || x.Sent {
+			g.noteRefusal(c, x)
+			return nil, classify(ctx, err, "gate: target "+c.target)
+		}
+		g.client.Forget(c.target)
 	}
-	v := f.exclusiveVerdict()
-	if refused(err) {
-		klog.Warningf("gate: Target %s refuses connections.", c.target)
-		g.registrar.Remove(c.target)
+}
+
+func (g *Gate) echo() string {
+	if g.dialect.EchoesRequest {
+		return g.dialect.Request
 	}
-	return nil, classify(ctx, err, v, "gate: target "+c.target)
+	return ""
 }
 
-// refused reports whether nothing listens at the address any more.
-func refused(err error) bool {
-	var o *net.OpError
-	return errors.As(err, &o) && o.Op == "dial" && !o.Timeout()
+// noteRefusal takes a target out that refuses connections.
+func (g *Gate) noteRefusal(c call, x *exchanger.Error) {
+	if x != nil && x.Refused && g.registrar.Lose(c.target) {
+		klog.InfoS("Target refuses connections", "request", c.request, "target", c.target, "service", c.service)
+	}
 }
 
-// classify turns a transport error into one with a verdict.
-func classify(ctx context.Context, err error, v judge.Verdict, who string) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return judge.Wrap(err, judge.TimedOut, v, "%s: no answer before the deadline", who)
+// take checks an answer and reads it whole, unless it is large.
+func (g *Gate) take(ctx context.Context, c call, r *exchanger.Response) (*answer, error) {
+	if err := g.check(c, r); err != nil {
+		_, _ = io.CopyN(io.Discard, r.Body, holdBytes)
+		_ = r.Body.Close()
+		return nil, err
 	}
-	return judge.Wrap(err, judge.Interrupted, v, "%s", who)
+	a, err := hold(r, c.method)
+	if err != nil {
+		return nil, classify(ctx, err, "gate: answer of "+c.target)
+	}
+	stripHop(a.header)
+	g.dialect.strip(a.header)
+	return a, nil
+}
+
+// check refuses answers by which the target says that it did not run the
+// request, and those that are not its own.
+func (g *Gate) check(c call, r *exchanger.Response) error {
+	d := &g.dialect
+	if d.NotRun != "" && r.Header.Get(d.NotRun) != "" {
+		return judge.Error(errRejected, judge.NotRun, "gate: target %s rejected the request with status %d", c.target, r.Status)
+	}
+	if d.Instance != "" && r.Status == http.StatusMisdirectedRequest {
+		klog.InfoS("Address belongs to another target", "request", c.request, "target", c.target, "service", c.service)
+		g.registrar.Lose(c.target)
+		return judge.Error(judge.NotFound, judge.NotRun, "gate: another target has the address %s", c.target)
+	}
+	if d.Signature == "" || r.Status >= http.StatusMultipleChoices {
+		return nil
+	}
+	if r.Header.Get(d.Signature) == "" {
+		return judge.Error(errSpoiled, judge.MayHaveRun, "gate: target %s gave an answer without a signature", c.target)
+	}
+	if e := r.Header.Get("Content-Encoding"); e != "" {
+		return judge.Error(errSpoiled, judge.MayHaveRun, "gate: target %s gave an answer with the encoding %q that nobody asked for", c.target, e)
+	}
+	return nil
 }
 
 // leavingBody gives the slot back once the answer has been read.
 type leavingBody struct {
 	io.ReadCloser
 
-	leave  func()
+	leave  func(gatekeeper.Result)
 	cancel context.CancelFunc
-	once   sync.Once
 }
 
 // Read implements io.Reader.
 func (b *leavingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
-		b.once.Do(b.leave)
+		b.leave(gatekeeper.Abandoned)
 	}
 	return n, err
 }
@@ -161,64 +250,115 @@
 // Close implements io.Closer.
 func (b *leavingBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(b.leave)
+	b.leave(gatekeeper.Abandoned)
 	b.cancel()
 	return err
 }
 
 // ServeHTTP takes a call from another node.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := g.accept(r, GatePath)
-	w.Header().Set(RequestHeader, c.request)
+	c, ok := g.accept(r)
+	w.Header().Set(g.dialect.Request, c.request)
+	if !ok {
+		refuseToNode(w, judge.Error(judge.Invalid, judge.NotRun, "gate: unreadable %s", HopHeader), gatekeeper.Load{})
+		return
+	}
+	if c.purpose == toSettle {
+		g.serveSettle(w, c)
+		return
+	}
+	p := newPulse(w)
 	a, err := g.do(r.Context(), c)
+	p.stop()
+	l := g.load(c)
 	if err != nil {
-		refuseToNode(w, err)
+		refuseToNode(w, err, l)
 		return
 	}
-	defer func() { _ = a.Body.Close() }()
-	copyHeader(w.Header(), a.Header)
-	w.Header().Set(RequestHeader, c.request)
-	setLength(w.Header(), a.ContentLength)
-	w.WriteHeader(a.StatusCode)
-	if err := stream(w, a.Body); err != nil {
+	h := w.Header()
+	copyHeader(h, a.header)
+	h.Set(g.dialect.Request, c.request)
+	h.Set(HopHeader, report{load: l}.format())
+	if err := a.write(w); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// accept reads a call that another node made of a request, below a prefix.
-func (g *Gate) accept(r *http.Request, prefix string) call {
-	u := *r.URL
-	u.Path = strings.TrimPrefix(u.Path, prefix)
-	u.RawPath = strings.TrimPrefix(u.RawPath, prefix)
-	h := r.Header.Clone()
+func (g *Gate) load(c call) gatekeeper.Load {
+	t, ok := g.registrar.Find(c.service, c.target)
+	if !ok {
+		return gatekeeper.Load{}
+	}
+	return t.Gate.Load(c.class)
+}
+
+func (g *Gate) serveSettle(w http.ResponseWriter, c call) {
+	v := g.ledger.settle(c.attempt, time.Now())
+	klog.InfoS("Settled an attempt whose connection was lost", "request", c.request, "attempt", c.attempt, "verdict", v)
+	w.Header().Set(HopHeader, report{refused: true, verdict: v, reason: Broken}.format())
+}
+
+// accept reads a call that another node made of a request.
+func (g *Gate) accept(r *http.Request) (call, bool) {
+	p, ok := parseHop(r.Header.Get(HopHeader))
 	c := call{
-		method:      r.Method,
-		host:        r.Host,
-		uri:         &u,
-		header:      h,
-		body:        r.Body,
-		length:      r.ContentLength,
-		request:     h.Get(RequestHeader),
-		service:     h.Get(gateServiceHeader),
-		target:      h.Get(gateTargetHeader),
-		deadline:    time.Now().Add(defaultDeadline),
-		fingerprint: parseFingerprint(h.Get(gateFingerprintHeader)),
-	}
-	if d, ok := parseLeft(h); ok {
+		hop:      p,
+		method:   r.Method,
+		host:     r.Host,
+		uri:      rawURI(r),
+		header:   r.Header,
+		body:     r.Body,
+		length:   r.ContentLength,
+		request:  r.Header.Get(g.dialect.Request),
+		deadline: time.Now().Add(defaultDeadline),
+	}
+	if d, ok := parseLeft(r.Header, g.dialect.Deadline); ok {
 		c.deadline = time.Now().Add(d)
 	}
-	h.Del(gateServiceHeader)
-	h.Del(gateTargetHeader)
-	h.Del(gateFingerprintHeader)
-	h.Del(gateProfileHeader)
-	return c
+	stripHop(c.header)
+	delete(c.header, HopHeader)
+	return c, ok
+}
+
+// pulse sends signs of life to the entry while the gate works on a call.
+type pulse struct {
+	mu     sync.Mutex
+	writer http.ResponseWriter
+	timer  *time.Timer
+	ended  bool
+}
+
+func newPulse(w http.ResponseWriter) *pulse {
+	p := &pulse{writer: w}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer = time.AfterFunc(signOfLifePeriod, p.beat)
+	return p
+}
+
+func (p *pulse) beat() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return
+	}
+	p.writer.WriteHeader(http.StatusProcessing)
+	p.timer.Reset(signOfLifePeriod)
+}
+
+func (p *pulse) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	p.timer.Stop()
 }
 
 // refuseToNode tells the entry node why a call failed.
-func refuseToNode(w http.ResponseWriter, err error) {
+func refuseToNode(w http.ResponseWriter, err error, l gatekeeper.Load) {
 	f := refusalOf(err)
-	w.Header().Set(gateVerdictHeader, f.Verdict.String())
-	w.Header().Set(gateReasonHeader, string(f.Reason))
+	r := report{refused: true, verdict: f.Verdict, reason: f.Reason, load: l}
+	r.wait, _ = judge.WaitOf(err)
+	w.Header().Set(HopHeader, r.format())
 	w.WriteHeader(f.Status())
 	_, _ = io.WriteString(w, f.Message)
 }
--- a/internal/forwarder/header.go
+++ b/internal/forwarder/header.go
@@ -30,13 +30,8 @@
 	// ReplayedHeader marks an answer that was given before.
 	ReplayedHeader = "Dragonflydoor-Replayed"
 
-	// The headers below are only used between nodes.
-	gateServiceHeader     = "Dragonflydoor-Gate-Service"
-	gateTargetHeader      = "Dragonflydoor-Gate-Target"
-	gateFingerprintHeader = "Dragonflydoor-Gate-Fingerprint"
-	gateProfileHeader     = "Dragonflydoor-Gate-Profile"
-	gateVerdictHeader     = "Dragonflydoor-Gate-Verdict"
-	gateReasonHeader      = "Dragonflydoor-Gate-Reason"
+	// HopHeader carries what nodes tell each other about a call.
+	HopHeader = "Dragonflydoor-Hop"
 
 	ownPrefix = "Dragonflydoor-"
 )
@@ -44,38 +39,42 @@
 // hopHeaders are meant for one connection (RFC 9110, section 7.6.1).
 var hopHeaders = [...]string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
 // stripHop removes what is meant for one connection only.
 func stripHop(h http.Header) {
-	for _, v := range h.Values("Connection") {
+	for _, v := range h["Connection"] {
 		for _, n := range strings.Split(v, ",") {
 			h.Del(textproto.TrimString(n))
 		}
 	}
 	for _, n := range hopHeaders {
-		h.Del(n)
+		delete(h, n)
 	}
 }
 
-// stripOwn removes headers that only nodes may set.
-func stripOwn(h http.Header) {
+// strip removes headers that only nodes may set.
+func (d *Dialect) strip(h http.Header) {
+	delete(h, HopHeader)
+	if d.Reserved == "" {
+		return
+	}
 	for n := range h {
-		if strings.HasPrefix(n, ownPrefix) {
+		if strings.HasPrefix(n, d.Reserved) {
 			delete(h, n)
 		}
 	}
 }
 
-// formatLeft returns the time left until deadline for DeadlineHeader.
+// formatLeft returns the time left until deadline for a deadline header.
 func formatLeft(deadline, now time.Time) string {
 	return strconv.FormatInt(max(deadline.Sub(now).Milliseconds(), 1), 10)
 }
 
-// parseLeft reads DeadlineHeader; it returns false when there is none.
-func parseLeft(h http.Header) (time.Duration, bool) {
-	n, err := strconv.ParseInt(h.Get(DeadlineHeader), 10, 32)
+// parseLeft reads a deadline header; it returns false when there is none.
+func parseLeft(h http.Header, name string) (time.Duration, bool) {
+	n, err := strconv.ParseInt(h.Get(name), 10, 32)
 	if err != nil || n <= 0 {
 		return 0, false
 	}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,7 +17,6 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
-	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
@@ -23,14 +24,22 @@
 type job struct {
 	request  *http.Request
 	id       string
+	arrived  time.Time
 	profile  *holder.Profile
 	route    router.Route
 	service  router.Service
 	body     *body
 	deadline time.Time
-	tried    map[string]bool
-	// ran says that an attempt may have run.
-	ran bool
+	// nested says that the target beside this node made the request.
+	nested bool
+	// refused holds the targets whose gates did not take the request, and ran
+	// those that may have run it.
+	refused map[string]bool
+	ran     map[string]bool
+	// sends counts the attempts that may have reached a target.
+	sends int
+	// doubtful says that an attempt may have run.
+	doubtful bool
 	// print is the fingerprint of equal requests.
 	print quarantiner.Fingerprint
 	// key is the caller's idempotency key, empty when the request may be
@@ -38,17 +47,30 @@
 	key string
 	// ctx ends with the caller, unless the request is to go on without it.
 	ctx context.Context
+	// target is the one that was tried last, and failure why it failed.
+	target  string
+	failure error
 }
 
-func newJob(r *http.Request) *job {
-	return &job{request: r, ctx: r.Context(), id: requestID(r.Header), tried: make(map[string]bool)}
+func (e *Entry) newJob(r *http.Request) *job {
+	return &job{
+		request: r,
+		ctx:     r.Context(),
+		id:      requestID(r.Header.Get(e.dialect.Request)),
+		arrived: time.Now(),
+		refused: make(map[string]bool),
+		ran:     make(map[string]bool),
+	}
 }
 
 // prepare finds the route and reads the body. It returns false with a refusal.
 func (e *Entry) prepare(w http.ResponseWriter, j *job) (Refusal, bool) {
-	if e.draining.Load() {
+	if e.refusing.Load() {
 		return notRun(Draining, "node %s is draining", e.node), false
 	}
+	if ambiguous(j.request) {
+		return notRun(BadRequest, "the body has a length and is sent in chunks as well"), false
+	}
 	if !cleanPath(j.request.URL.Path) {
 		return notRun(BadRequest, "the path has empty, \".\" or \"..\" segments"), false
 	}
@@ -57,14 +79,15 @@
 	if j.profile == nil {
 		return notRun(NoProfile, "profile %q is not in force", n), false
 	}
-	if !j.findRoute() {
+	if !e.findRoute(j) {
 		return notRun(NoRoute, "no route of profile %q matches", j.profile.Name), false
 	}
 	if !j.findKey() {
 		return notRun(BadRequest, "%s has more than %d bytes", KeyHeader, maxKeyBytes), false
 	}
-	j.setDeadline(time.Now())
-	if f, ok := j.readBody(w); !ok {
+	e.setDeadline(j)
+	j.nested = e.fromTarget(j.request.RemoteAddr)
+	if f, ok := j.readBody(w, e.beside.Load().service); !ok {
 		return f, false
 	}
 	if e.gate.warden.Blocked(j.print) {
@@ -77,7 +100,7 @@
 	return Refusal{Reason: r, Verdict: judge.NotRun, Message: fmt.Sprintf(format, args...)}
 }
 
-func (j *job) findRoute() bool {
+func (e *Entry) findRoute(j *job) bool {
 	r := j.request
 	t, ok := j.profile.Table.Find(router.Request{
 		Host:   r.Host,
@@ -88,7 +111,7 @@
 	if !ok {
 		return false
 	}
-	d, ok := t.Choose(mathrand.Float64())
+	d, ok := e.spreader.Choose(t)
 	if !ok {
 		return false
 	}
@@ -99,86 +122,120 @@
 
 // setDeadline takes the earliest of the caller's, the route's and the
 // service's deadlines.
-func (j *job) setDeadline(now time.Time) {
+func (e *Entry) setDeadline(j *job) {
 	d := j.service.Timeout
 	if j.route.Timeout > 0 {
-		d = min(d, j.route.Timeout)
+		d = j.route.Timeout
 	}
-	if l, ok := parseLeft(j.request.Header); ok {
+	if l, ok := parseLeft(j.request.Header, e.dialect.Deadline); ok {
 		d = min(d, l)
 	}
-	j.deadline = now.Add(min(d, maxCallDeadline))
+	j.deadline = j.arrived.Add(min(d, maxCallDeadline))
+}
+
+// fromTarget reports whether a request came from the target beside this node.
+func (e *Entry) fromTarget(address string) bool {
+	h, _, err := net.SplitHostPort(address)
+	return err == nil && h != "" && h == e.beside.Load().targetHost
 }
 
-func (j *job) readBody(w http.ResponseWriter) (Refusal, bool) {
+func (j *job) readBody(w http.ResponseWriter, origin string) (Refusal, bool) {
 	b, err := readBody(w, j.request, j.service.Limits.MaxBodyBytes, j.deadline)
 	var m *http.MaxBytesError
 	if errors.As(err, &m) {
 		return notRun(TooLarge, "the body has more than %d bytes", m.Limit), false
 	}
 	if err != nil {
-		return notRun(BadRequest, "the body could not be read: %v", err), false
+		return notRun(Incomplete, "the body could not be read: %v", err), false
 	}
 	j.body = b
-	j.print = j.fingerprint()
+	j.print = j.fingerprint(origin)
 	return Refusal{}, true
 }
 
-func (j *job) idempotent() bool {
-	return j.route.Idempotent || retrier.SafeMethod(j.request.Method)
+func (j *job) repeatable() bool {
+	return j.route.Repeatable(j.request.Method)
 }
 
 // verdict makes err speak for all attempts, not only for the last one.
 func (j *job) verdict(err error) error {
-	if !j.ran || judge.Of(err) == judge.MayHaveRun {
+	if !j.doubtful || judge.Of(err) == judge.MayHaveRun {
 		return err
 	}
 	return judge.Wrap(err, judge.Interrupted, judge.MayHaveRun, "an earlier attempt may have run")
 }
 
-// call makes the call of attempt n to endpoint p.
-func (j *job) call(p gossiper.Endpoint, n int) call {
+// call makes a call to endpoint p.
+func (e *Entry) call(j *job, p gossiper.Endpoint) call {
 	r := j.request
 	h := r.Header.Clone()
 	stripHop(h)
-	repeated := h.Get(RetryHeader) != "" || n > 1
-	stripOwn(h)
-	h.Del("Expect")
-	if repeated {
+	repeated := h.Get(RetryHeader) != "" || j.sends > 0
+	e.dialect.strip(h)
+	delete(h, "Expect")
+	if repeated && e.dialect.Reserved == ownPrefix {
 		h.Set(RetryHeader, "1")
 	}
-	h.Set(RequestHeader, j.id)
-	return call{
-		method:      r.Method,
-		host:        r.Host,
-		uri:         r.URL,
-		header:      h,
-		body:        j.body.reader(),
-		length:      j.body.length,
-		request:     j.id,
-		service:     p.Service,
-		target:      p.Address,
-		deadline:    j.deadline,
-		fingerprint: j.print,
-	}
+	h.Set(e.dialect.Request, j.id)
+	if e.dialect.Origin != "" {
+		h.Set(e.dialect.Origin, e.beside.Load().service)
+	}
+	if e.dialect.Instance != "" {
+		h.Del(e.dialect.Instance)
+	}
+	c := call{
+		hop: hop{
+			purpose:     toGate,
+			service:     p.Service,
+			target:      p.Address,
+			class:       j.route.Name,
+			priority:    j.route.Priority,
+			nested:      j.nested,
+			repeatable:  j.repeatable(),
+			fingerprint: j.print,
+		},
+		method:   r.Method,
+		host:     r.Host,
+		uri:      rawURI(r),
+		header:   h,
+		body:     j.body.reader(),
+		length:   j.body.length,
+		request:  j.id,
+		deadline: j.deadline,
+	}
+	if j.route.Objective > 0 {
+		c.objective = max(j.route.Objective-time.Since(j.arrived), time.Millisecond)
+	}
+	if !c.repeatable {
+		c.attempt = j.id + "." + strconv.FormatUint(mathrand.Uint64(), 36)
+	}
+	return c
 }
 
 // requestID keeps the caller's identifier if it is usable, or makes one.
-func requestID(h http.Header) string {
-	if v := h.Get(RequestHeader); v != "" && len(v) <= maxRequestID {
-		return v
+func requestID(id string) string {
+	if id != "" && len(id) <= maxRequestID {
+		return id
 	}
 	var b [requestIDBytes]byte
 	_, _ = rand.Read(b[:])
 	return hex.EncodeToString(b[:])
 }
 
+// rawURI returns the path and query as they were sent.
+func rawURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // cleanPath refuses paths that targets may read differently from the router.
 func cleanPath(p string) bool {
 	if p == "" || p == "*" {
 		return p == "*"
 	}
-	for _, s := range strings.Split(strings.TrimSuffix(p[1:], "/"), "/") {
+	for s := range strings.SplitSeq(strings.TrimSuffix(p[1:], "/"), "/") {
 		if s == "." || s == ".." || (s == "" && p != "/") {
 			return false
 		}
--- a/internal/forwarder/keyed.go
+++ b/internal/forwarder/keyed.go
@@ -8,17 +8,14 @@
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/deduplicator"
+	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
+	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
-	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
-	// HomePath is the prefix of keyed requests on the peer address of the
-	// key's home.
-	HomePath = "/home"
-
 	maxKeyBytes = 255
 	// homeTries and homePause bound the search for a home that agrees, while
 	// the membership changes.
@@ -35,7 +32,7 @@
 // findKey notes the idempotency key of a request that must not run twice. It
 // returns false if the key is too long.
 func (j *job) findKey() bool {
-	if j.route.Idempotent || retrier.SafeMethod(j.request.Method) {
+	if j.repeatable() {
 		return true
 	}
 	j.key = j.request.Header.Get(KeyHeader)
@@ -75,19 +72,19 @@
 // sendHome hands a request to the home of its key and brings back the answer.
 func (e *Entry) sendHome(j *job, h gossiper.Member) (*answer, error) {
 	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
-	c := j.call(gossiper.Endpoint{Target: gossiper.Target{Service: j.service.Name}}, 1)
-	c.header.Set(gateServiceHeader, c.service)
-	c.header.Set(gateProfileHeader, j.profile.Name)
-	c.header.Set(DeadlineHeader, formatLeft(c.deadline, time.Now()))
-	var f flight
-	r, err := e.transport.RoundTrip(c.newRequest(f.trace(ctx), h.PeerAddress, HomePath))
+	c := e.call(j, gossiper.Endpoint{Target: gossiper.Target{Service: j.service.Name}})
+	c.purpose = toHome
+	c.profile = j.profile.Name
+	c.header.Set(HopHeader, c.format())
+	c.header.Set(e.dialect.Deadline, formatLeft(c.deadline, time.Now()))
+	r, err := e.peers.Do(ctx, h.PeerAddress, c.exchange(e.dialect.Request))
 	if err != nil {
 		defer cancel()
-		v := f.sharedVerdict()
-		if v == judge.NotRun && ctx.Err() == nil {
-			return nil, judge.Wrap(err, errNotHome, v, "home %s", h.Node)
+		err = classify(ctx, err, "home "+h.Node)
+		if judge.Of(err) == judge.NotRun && ctx.Err() == nil {
+			return nil, judge.Wrap(err, errNotHome, judge.NotRun, "home %s", h.Node)
 		}
-		return nil, classify(ctx, err, v, "home "+h.Node)
+		return nil, err
 	}
 	a, err := e.readHome(ctx, r, h, c)
 	if err != nil {
@@ -98,17 +95,22 @@
 	return a.closing(cancel), nil
 }
 
-func (e *Entry) readHome(ctx context.Context, r *http.Response, h gossiper.Member, c call) (*answer, error) {
-	if err := checkAnswer(r, c, gossiper.Endpoint{Node: h.Node}); err != nil {
+func (e *Entry) readHome(ctx context.Context, r *exchanger.Response, h gossiper.Member, c call) (*answer, error) {
+	t, ok := parseReport(r.Header.Get(HopHeader))
+	if !ok {
 		_ = r.Body.Close()
-		return nil, err
+		return nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "home %s answered without %s", h.Node, HopHeader)
 	}
 	p := r.Header.Get(ReplayedHeader)
-	a, err := hold(r)
+	a, err := hold(r, c.method)
+	if t.refused {
+		return nil, refusalError(t, gossiper.Endpoint{Node: h.Node})
+	}
 	if err != nil {
-		return nil, classify(ctx, err, judge.MayHaveRun, "answer of home "+h.Node)
+		return nil, classify(ctx, err, "answer of home "+h.Node)
 	}
-	stripOwn(a.header)
+	stripHop(a.header)
+	e.dialect.strip(a.header)
 	if p != "" {
 		a.header.Set(ReplayedHeader, p)
 	}
@@ -117,35 +119,36 @@
 
 // ServeHome takes a keyed request from another node.
 func (e *Entry) ServeHome(w http.ResponseWriter, r *http.Request) {
-	c := e.gate.accept(r, HomePath)
-	w.Header().Set(RequestHeader, c.request)
+	c, _ := e.gate.accept(r)
+	w.Header().Set(e.dialect.Request, c.request)
+	p := newPulse(w)
 	a, err := e.homeRequest(w, r, c)
+	p.stop()
 	if err != nil {
-		refuseToNode(w, err)
+		refuseToNode(w, err, gatekeeper.Load{})
 		return
 	}
+	w.Header().Set(HopHeader, report{}.format())
 	if err := a.write(w); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
 func (e *Entry) homeRequest(w http.ResponseWriter, r *http.Request, c call) (*answer, error) {
-	j := newJob(r)
-	j.request = r.Clone(r.Context())
-	j.request.URL = c.uri
-	j.request.Header = c.header
+	j := e.newJob(r)
+	j.id = c.request
 	j.key = c.header.Get(KeyHeader)
 	j.deadline = c.deadline
-	j.profile = e.holder.Current().Serving(r.Header.Get(gateProfileHeader))
+	j.profile = e.holder.Current().Serving(c.profile)
 	if j.profile == nil {
-		return nil, judge.Error(errNotHome, judge.NotRun, "profile %q is not in force here", r.Header.Get(gateProfileHeader))
+		return nil, judge.Error(errNotHome, judge.NotRun, "profile %q is not in force here", c.profile)
 	}
 	s, ok := j.profile.Service(c.service)
 	if !ok {
 		return nil, judge.Error(errNotHome, judge.NotRun, "service %q is not in force here", c.service)
 	}
 	j.service = s
-	if f, ok := j.readBody(w); !ok {
+	if f, ok := j.readBody(w, e.beside.Load().service); !ok {
 		return nil, judge.Error(kindOf(f.Reason), f.Verdict, "%s", f.Message)
 	}
 	h, since, ok := deduplicator.Home(e.view(), s.Name, j.key)
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -14,7 +17,15 @@
 
 // The reasons.
 const (
-	BadRequest   Reason = "bad_request"
+	BadRequest Reason = "bad_request"
+	// Incomplete means that the caller did not send the whole request.
+	Incomplete Reason = "incomplete"
+	// Unreachable means that the node beside the target can not be reached.
+	Unreachable Reason = "unreachable"
+	// Rejected means that the target said that it did not run the request.
+	Rejected Reason = "rejected"
+	// Spoiled means that the answer is not the target's own.
+	Spoiled      Reason = "spoiled"
 	TooLarge     Reason = "too_large"
 	NoRoute      Reason = "no_route"
 	NoTarget     Reason = "no_target"
@@ -41,6 +52,10 @@
 	Verdict judge.Verdict
 	Message string
 	Request string
+	// Wait is how long it will be until there is room, zero when it is not
+	// known, and RetryAfter when the caller is to come back.
+	Wait       time.Duration
+	RetryAfter time.Duration
 }
 
 type refusalJSON struct {
@@ -59,31 +74,36 @@
 	switch r.Reason {
 	case BadRequest:
 		return http.StatusBadRequest
+	case Incomplete:
+		return http.StatusRequestTimeout
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge
 	case NoRoute:
 		return http.StatusNotFound
-	case DeadlinePast:
-		return http.StatusGatewayTimeout
 	case KeyUncertain:
 		return http.StatusConflict
 	case KeyMismatch:
 		return http.StatusUnprocessableEntity
 	default:
 	}
-	if r.Verdict == judge.NotRun {
+	switch {
+	case r.Verdict == judge.NotRun:
 		return http.StatusServiceUnavailable
+	case r.Reason == DeadlinePast:
+		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
 }
 
 // write sends the refusal to a caller.
-func (r Refusal) write(w http.ResponseWriter) {
+func (r Refusal) write(w http.ResponseWriter, d Dialect) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(VerdictHeader, r.Verdict.String())
-	if s := r.Status(); s == http.StatusServiceUnavailable {
-		h.Set("Retry-After", "1")
+	if d.Verdict != "" {
+		h.Set(d.Verdict, r.Verdict.String())
+	}
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", formatRetryAfter(r.RetryAfter, d.FineRetryAfter))
 	}
 	w.WriteHeader(r.Status())
 	_ = json.NewEncoder(w).Encode(refusalJSON{Error: refusalBodyJSON{
@@ -94,9 +114,19 @@
 	}})
 }
 
+// formatRetryAfter writes seconds: whole ones (RFC 9110, section 10.2.3), or
+// with milliseconds where callers understand them.
+func formatRetryAfter(d time.Duration, fine bool) string {
+	if fine {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
 // refusalOf describes err to a caller.
 func refusalOf(err error) Refusal {
-	return Refusal{Reason: reasonOf(err), Verdict: judge.Of(err), Message: messageOf(err)}
+	w, _ := judge.WaitOf(err)
+	return Refusal{Reason: reasonOf(err), Verdict: judge.Of(err), Message: messageOf(err), Wait: w}
 }
 
 // kinds relates errors to reasons, subtypes before their types.
@@ -109,6 +139,9 @@
 	{NotHome, errNotHome},
 	{KeyUncertain, errKeyUncertain},
 	{KeyMismatch, errKeyMismatch},
+	{Rejected, errRejected},
+	{Spoiled, errSpoiled},
+	{Unreachable, errUnreachable},
 	{Overloaded, judge.Overloaded},
 	{DeadlinePast, judge.TimedOut},
 	{NoTarget, judge.NotFound},
--- a/internal/forwarder/stats.go
+++ b/internal/forwarder/stats.go
@@ -1,8 +1,11 @@
 package forwarder
 
 import (
+	"net/http"
 	"sync/atomic"
+	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/connector"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 )
 
@@ -13,12 +16,26 @@
 	Cut        atomic.Uint64
 	NotRun     atomic.Uint64
 	MayHaveRun atomic.Uint64
+
+	// Observe takes the duration of each answered request, when it is set.
+	Observe func(time.Duration)
 }
 
-func (s *Stats) refused(v judge.Verdict) {
-	if v == judge.NotRun {
+func (s *Stats) refused(f Refusal) {
+	if f.Verdict == judge.NotRun {
 		s.NotRun.Add(1)
 		return
 	}
 	s.MayHaveRun.Add(1)
 }
+
+func (s *Stats) observe(d time.Duration) {
+	if s.Observe != nil {
+		s.Observe(d)
+	}
+}
+
+// ambiguous reports whether a request states two lengths of its body.
+func ambiguous(r *http.Request) bool {
+	return len(r.TransferEncoding) > 0 && connector.StatedLength(r.Context())
+}
--- a/internal/gatekeeper/gate_test.go
+++ b/internal/gatekeeper/gate_test.go
@@ -14,11 +14,21 @@
 	return New(router.Limits{Slots: slots, Queue: queue}, time.Time{})
 }
 
+// enter asks for a slot with a deadline after wait, and returns what gives it back.
 func enter(t *testing.T, g *Gate, wait time.Duration) (func(), error) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	return enterWith(t, g, Ticket{Deadline: time.Now().Add(wait)})
+}
+
+func enterWith(t *testing.T, g *Gate, k Ticket) (func(), error) {
+	t.Helper()
+	ctx, cancel := context.WithDeadline(t.Context(), k.Deadline)
 	defer cancel()
-	return g.Enter(ctx, time.Now().Add(wait))
+	p, err := g.Enter(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	return func() { p.Leave(Answered) }, nil
 }
 
 func TestQueueGoesByDeadline(t *testing.T) {
@@ -106,7 +116,7 @@
 		for _, c := range []struct {
 			age  time.Duration
 			want int
-		}{{0, 3}, {warmUp / 2, 7}, {warmUp, 12}} {
+		}{{0, 3}, {WarmUp / 2, 7}, {WarmUp, 12}} {
 			if n := g.slots(time.Now().Add(c.age)); n != c.want {
 				t.Errorf("after %s: %d slots, want %d", c.age, n, c.want)
 			}
--- a/internal/imitator/baseline.go
+++ b/internal/imitator/baseline.go
@@ -39,9 +39,9 @@
 
 // Run follows the store until ctx is done.
 func (b *Baseline) Run(ctx context.Context) {
-	var n uint64
+	var held storer.Value
 	for ctx.Err() == nil {
-		v, ok, err := b.Store.Watch(ctx, storer.HeadKey, n, baselineWait)
+		v, ok, err := b.Store.Watch(ctx, storer.HeadKey, held, baselineWait)
 		if err == nil && ok && v.Revision != 0 {
 			err = b.take(ctx, v)
 		}
@@ -50,9 +50,7 @@
 			time.Sleep(baselineBackoff)
 			continue
 		}
-		if ok {
-			n = v.Revision
-		}
+		held = v
 	}
 }
 
--- a/internal/imitator/server.go
+++ b/internal/imitator/server.go
@@ -14,7 +14,10 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
-const maxWait = time.Minute
+const (
+	maxWait      = time.Minute
+	maxBodyBytes = 4 << 20
+)
 
 // Server serves a Store over HTTP with faults. Its zero value is ready.
 type Server struct {
@@ -54,36 +57,24 @@
 // Handler returns the HTTP interface of the store and of its faults.
 func (s *Server) Handler() http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("GET /v1/values/{key...}", s.get)
-	m.HandleFunc("GET /v1/values", s.wrap(read, s.list))
-	m.HandleFunc("PUT /v1/values/{key...}", s.wrap(write, s.put))
-	m.HandleFunc("DELETE /v1/values/{key...}", s.wrap(write, s.remove))
-	m.HandleFunc("POST /v1/leases", s.wrap(write, s.grant))
-	m.HandleFunc("PUT /v1/leases/{id}", s.wrap(write, s.keepAlive))
-	m.HandleFunc("DELETE /v1/leases/{id}", s.wrap(write, s.revoke))
+	m.HandleFunc("GET /v1/kv-key", s.wrap(read, s.read))
+	m.HandleFunc("GET /v1/kv-range", s.wrap(read, s.list))
+	m.HandleFunc("GET /v1/kv-watch", s.wrap(watch, s.watch))
+	m.HandleFunc("POST /v1/kv-txn", s.wrap(write, s.change))
+	m.HandleFunc("POST /v1/kv-lease", s.wrap(write, s.grant))
+	m.HandleFunc("POST /v1/kv-keep/{id}", s.wrap(write, s.keepAlive))
+	m.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.wrap(write, s.revoke))
 	m.HandleFunc("PUT /faults", s.setFaults)
 	m.HandleFunc("POST /faults/lapse", s.lapse)
 	m.HandleFunc("POST /faults/rewind", s.rewind)
+	m.HandleFunc("POST /faults/forget", func(http.ResponseWriter, *http.Request) { s.store.Forget() })
+	m.HandleFunc("PUT /operator/{key...}", s.operate)
 	m.HandleFunc("GET /counts", s.counts)
 	return m
 }
 
-type call func(w *answer, r *http.Request) error
-
-// answer is a response that can be lost after the call took effect.
-type answer struct {
-	status   int
-	revision uint64
-	body     []byte
-}
-
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Has("wait_ms") {
-		s.wrap(watch, s.watch)(w, r)
-		return
-	}
-	s.wrap(read, s.read)(w, r)
-}
+// call handles a call of the store and returns the body of the answer.
+type call func(r *http.Request) (any, error)
 
 func (s *Server) wrap(k kind, f call) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -100,23 +91,17 @@
 			return
 		}
 		time.Sleep(t.Delay)
-		a := &answer{status: http.StatusOK}
-		err := f(a, r)
+		v, err := f(r)
 		if k == write && s.control.loseAnswer() {
 			panic(http.ErrAbortHandler)
 		}
-		a.write(w, err)
-	}
-}
-
-func (a *answer) write(w http.ResponseWriter, err error) {
-	if err != nil {
-		http.Error(w, message(err), status(err))
-		return
+		if err != nil {
+			http.Error(w, message(err), status(err))
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v)
 	}
-	w.Header().Set(storer.RevisionHeader, strconv.FormatUint(a.revision, 10))
-	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
 }
 
 func message(err error) string {
@@ -126,8 +111,13 @@
 	return err.Error()
 }
 
+// errForgotten reports a watch from before the known history.
+var errForgotten = judge.Unavailable.NewSubtype("imitator_forgotten")
+
 func status(err error) int {
 	switch {
+	case judge.Is(err, errForgotten):
+		return http.StatusGone
 	case judge.Is(err, judge.NotFound):
 		return http.StatusNotFound
 	case judge.Is(err, judge.Conflict):
@@ -138,87 +128,159 @@
 	return http.StatusServiceUnavailable
 }
 
-func (s *Server) read(a *answer, r *http.Request) error {
-	v, err := s.store.Get(r.Context(), r.PathValue("key"))
-	a.revision = v.Revision
-	a.body = v.Data
-	return err
+// The bodies of the platform's protocol; []byte is written as base64.
+type (
+	itemJSON struct {
+		Key       string `json:"key"`
+		Value     []byte `json:"value,omitempty"`
+		Rev       uint64 `json:"rev"`
+		Tombstone bool   `json:"tombstone,omitempty"`
+		AsOf      uint64 `json:"current-rev,omitempty"`
+	}
+	rangeJSON struct {
+		Items     []itemJSON `json:"items"`
+		Truncated bool       `json:"truncated"`
+		AsOf      uint64     `json:"current-rev"`
+	}
+	watchJSON struct {
+		Events []itemJSON `json:"events"`
+		AsOf   uint64     `json:"current-rev"`
+	}
+	changeJSON struct {
+		Preconditions []struct {
+			Key string `json:"key"`
+			Rev uint64 `json:"rev"`
+		} `json:"precondition"`
+		Writes []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease uint64 `json:"lease"`
+		} `json:"writes"`
+		Deletes []string `json:"deletes"`
+	}
+	changedJSON struct {
+		Rev uint64 `json:"rev"`
+	}
+	leaseJSON struct {
+		Lease uint64 `json:"lease,omitempty"`
+		TTL   string `json:"ttl_time"`
+	}
+)
+
+func (s *Server) read(r *http.Request) (any, error) {
+	k := r.URL.Query().Get("key")
+	v, err := s.store.Get(r.Context(), k)
+	return itemJSON{Key: k, Value: v.Data, Rev: v.Revision, AsOf: v.AsOf}, err
 }
 
-func (s *Server) watch(a *answer, r *http.Request) error {
-	n, err := integer(r, "not_revision")
+func (s *Server) watch(r *http.Request) (any, error) {
+	n, err := integer(r, "after")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	m, err := integer(r, "wait_ms")
+	m, err := integer(r, "wait-ms")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	d := min(time.Duration(m)*time.Millisecond, maxWait)
-	v, ok, err := s.store.Watch(r.Context(), r.PathValue("key"), n, d)
-	if !ok {
-		a.status = http.StatusNoContent
+	t := time.NewTimer(min(time.Duration(m)*time.Millisecond, maxWait))
+	defer t.Stop()
+	for {
+		l, asOf, changed, ok := s.store.since(r.URL.Query().Get("prefix"), n)
+		if !ok {
+			return nil, judge.Error(errForgotten, judge.NotRun, "history before %d is forgotten", asOf)
+		}
+		if len(l) > 0 {
+			return writeEvents(l, asOf), nil
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return writeEvents(nil, asOf), nil
+		case <-r.Context().Done():
+			return nil, judge.Wrap(r.Context().Err(), judge.TimedOut, judge.NotRun, "watch")
+		}
 	}
-	a.revision = v.Revision
-	a.body = v.Data
-	return err
 }
 
-func (s *Server) list(a *answer, r *http.Request) error {
-	l, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"))
-	a.body = storer.EncodeItems(l)
-	return err
+func writeEvents(list []event, asOf uint64) watchJSON {
+	j := watchJSON{Events: make([]itemJSON, 0, len(list)), AsOf: asOf}
+	for _, e := range list {
+		j.Events = append(j.Events, itemJSON{Key: e.key, Value: e.value.Data, Rev: e.at, Tombstone: e.removed})
+	}
+	return j
 }
 
-func (s *Server) put(a *answer, r *http.Request) error {
-	b, err := io.ReadAll(io.LimitReader(r.Body, storer.MaxValueBytes+1))
+func (s *Server) list(r *http.Request) (any, error) {
+	l, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"))
 	if err != nil {
-		return judge.Wrap(err, judge.Invalid, judge.NotRun, "body")
+		return nil, err
 	}
-	n, err := integer(r, "revision")
-	if err != nil {
-		return err
+	j := rangeJSON{Items: make([]itemJSON, 0, len(l))}
+	for _, i := range l {
+		j.Items = append(j.Items, itemJSON{Key: i.Key, Value: i.Value.Data, Rev: i.Value.Revision})
 	}
-	l, err := integer(r, "lease")
-	if err != nil {
-		return err
+	return j, nil
+}
+
+// change takes the changes that the product makes: one write or one delete
+// under a condition on the same key.
+func (s *Server) change(r *http.Request) (any, error) {
+	var j changeJSON
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&j); err != nil {
+		return nil, judge.Wrap(err, judge.Invalid, judge.NotRun, "body")
+	}
+	if len(j.Preconditions) != 1 || len(j.Writes)+len(j.Deletes) != 1 {
+		return nil, judge.Error(judge.Invalid, judge.NotRun, "a change of one key with its precondition is expected")
+	}
+	p := j.Preconditions[0]
+	if len(j.Deletes) == 1 {
+		return changedJSON{}, s.store.Delete(r.Context(), j.Deletes[0], p.Rev)
 	}
-	a.revision, err = s.store.Put(r.Context(), r.PathValue("key"), b, n, storer.LeaseID(l))
-	return err
+	w := j.Writes[0]
+	n, err := s.store.Put(r.Context(), w.Key, w.Value, p.Rev, storer.LeaseID(w.Lease))
+	return changedJSON{Rev: n}, err
 }
 
-func (s *Server) remove(_ *answer, r *http.Request) error {
-	n, err := integer(r, "revision")
+// operate writes a key on behalf of an operator, whatever its revision.
+func (s *Server) operate(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
-		return err
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	v, _ := s.store.Get(r.Context(), r.PathValue("key"))
+	if _, err := s.store.Put(r.Context(), r.PathValue("key"), b, v.Revision, 0); err != nil {
+		http.Error(w, message(err), status(err))
 	}
-	return s.store.Delete(r.Context(), r.PathValue("key"), n)
 }
 
-func (s *Server) grant(a *answer, r *http.Request) error {
-	n, err := integer(r, "ttl_ms")
+func (s *Server) grant(r *http.Request) (any, error) {
+	var j leaseJSON
+	if err := json.NewDecoder(r.Body).Decode(&j); err != nil {
+		return nil, judge.Wrap(err, judge.Invalid, judge.NotRun, "body")
+	}
+	d, err := time.ParseDuration(j.TTL)
 	if err != nil {
-		return err
+		return nil, judge.Wrap(err, judge.Invalid, judge.NotRun, "ttl_time")
 	}
-	l, err := s.store.Grant(r.Context(), time.Duration(n)*time.Millisecond)
-	a.body = strconv.AppendUint(nil, uint64(l), 10)
-	return err
+	l, err := s.store.Grant(r.Context(), d)
+	return leaseJSON{Lease: uint64(l), TTL: j.TTL}, err
 }
 
-func (s *Server) keepAlive(_ *answer, r *http.Request) error {
+func (s *Server) keepAlive(r *http.Request) (any, error) {
 	l, err := leaseID(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return s.store.KeepAlive(r.Context(), l)
+	return leaseJSON{}, s.store.KeepAlive(r.Context(), l)
 }
 
-func (s *Server) revoke(_ *answer, r *http.Request) error {
+func (s *Server) revoke(r *http.Request) (any, error) {
 	l, err := leaseID(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return s.store.Revoke(r.Context(), l)
+	return leaseJSON{}, s.store.Revoke(r.Context(), l)
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
--- a/internal/imitator/store.go
+++ b/internal/imitator/store.go
@@ -4,6 +4,7 @@
 package imitator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -33,8 +34,12 @@
 	leases   map[storer.LeaseID]lease
 	past     []map[string]record
 	revision uint64
-	granted  storer.LeaseID
-	changed  chan struct{}
+	// tombstones holds the revision at which a key was removed, and forgotten
+	// the revision up to which the history is no longer known.
+	tombstones map[string]uint64
+	forgotten  uint64
+	granted    storer.LeaseID
+	changed    chan struct{}
 }
 
 var _ storer.Store = (*Store)(nil)
@@ -48,6 +53,7 @@
 	if !ok {
 		return storer.Value{}, notFound(key)
 	}
+	r.value.AsOf = s.revision
 	return r.value, nil
 }
 
@@ -69,6 +75,7 @@
 	s.revision++
 	v := storer.Value{Data: slices.Clone(data), Revision: s.revision}
 	s.records[key] = record{value: v, lease: l}
+	delete(s.tombstones, key)
 	s.notify()
 	return s.revision, nil
 }
@@ -85,7 +92,7 @@
 		return err
 	}
 	s.remember()
-	delete(s.records, key)
+	s.bury(key)
 	s.notify()
 	return nil
 }
@@ -106,18 +113,18 @@
 }
 
 // Watch implements storer.Store.
-func (s *Store) Watch(ctx context.Context, key string, revision uint64, wait time.Duration) (storer.Value, bool, error) {
+func (s *Store) Watch(ctx context.Context, key string, held storer.Value, wait time.Duration) (storer.Value, bool, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
 		v, c := s.observe(key)
-		if v.Revision != revision {
+		if v.Revision != held.Revision {
 			return v, true, nil
 		}
 		select {
 		case <-c:
 		case <-t.C:
-			return storer.Value{}, false, nil
+			return v, false, nil
 		case <-ctx.Done():
 			return storer.Value{}, false, judge.Wrap(ctx.Err(), judge.TimedOut, judge.NotRun, "watch")
 		}
@@ -127,10 +134,67 @@
 func (s *Store) observe(key string) (storer.Value, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	v := s.records[key].value
+	v.AsOf = s.revision
+	return v, s.changes()
+}
+
+func (s *Store) changes() <-chan struct{} {
 	if s.changed == nil {
 		s.changed = make(chan struct{})
 	}
-	return s.records[key].value, s.changed
+	return s.changed
+}
+
+// event is a change of a key; Value has revision 0 where it was removed.
+type event struct {
+	key     string
+	at      uint64
+	value   storer.Value
+	removed bool
+}
+
+// since returns the changes below prefix after a revision, the revision of the
+// store, and a channel that is closed with the next change. It returns false
+// when a part of that history is forgotten.
+func (s *Store) since(prefix string, after uint64) ([]event, uint64, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	if after < s.forgotten {
+		return nil, s.revision, nil, false
+	}
+	var l []event
+	for k, r := range s.records {
+		if strings.HasPrefix(k, prefix) && r.value.Revision > after {
+			l = append(l, event{key: k, at: r.value.Revision, value: r.value})
+		}
+	}
+	for k, n := range s.tombstones {
+		if strings.HasPrefix(k, prefix) && n > after {
+			l = append(l, event{key: k, at: n, removed: true})
+		}
+	}
+	slices.SortFunc(l, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return l, s.revision, s.changes(), true
+}
+
+// Forget drops the whole history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.revision
+	clear(s.tombstones)
+	s.notify()
+}
+
+func (s *Store) bury(key string) {
+	s.revision++
+	delete(s.records, key)
+	if s.tombstones == nil {
+		s.tombstones = make(map[string]uint64)
+	}
+	s.tombstones[key] = s.revision
 }
 
 // Grant implements storer.Store.
@@ -197,6 +261,8 @@
 			delete(s.records, k)
 		}
 	}
+	s.revision++
+	s.forgotten = s.revision
 	s.notify()
 }
 
@@ -234,9 +300,10 @@
 	delete(s.leases, id)
 	for k, r := range s.records {
 		if r.lease == id {
-			delete(s.records, k)
+			s.bury(k)
 		}
 	}
+	s.notify()
 }
 
 func (s *Store) notify() {
--- a/internal/judge/verdict.go
+++ b/internal/judge/verdict.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/joomcode/errorx"
 )
@@ -46,6 +47,7 @@
 	namespace = errorx.NewNamespace("dragonflydoor")
 
 	verdictProperty = errorx.RegisterPrintableProperty("verdict")
+	waitProperty    = errorx.RegisterPrintableProperty("wait")
 
 	// Unavailable reports that nothing could serve the request.
 	Unavailable = namespace.NewType("unavailable")
@@ -94,3 +96,28 @@
 func Is(err error, t *errorx.Type) bool {
 	return errorx.IsOfType(err, t)
 }
+
+// WithWait adds to err how long it will be until the same request could be
+// taken.
+func WithWait(err error, d time.Duration) error {
+	x := errorx.Cast(err)
+	if x == nil {
+		return err
+	}
+	return x.WithProperty(waitProperty, d)
+}
+
+// WaitOf returns how long it will be until a refused request could be taken,
+// or false when that is not known.
+func WaitOf(err error) (time.Duration, bool) {
+	var x *errorx.Error
+	if !errors.As(err, &x) {
+		return 0, false
+	}
+	p, ok := x.Property(waitProperty)
+	if !ok {
+		return 0, false
+	}
+	d, ok := p.(time.Duration)
+	return d, ok
+}
--- a/internal/measurer/fleet.go
+++ b/internal/measurer/fleet.go
@@ -18,7 +18,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
-	"github.com/dragonflydoor/dragonflydoor/internal/storer"
+	"github.com/dragonflydoor/dragonflydoor/platform"
 )
 
 const (
@@ -191,7 +191,7 @@
 }
 
 func (f *fleet) publisher() *publisher.Publisher {
-	return publisher.New(storer.NewClient(f.storeAddress(), &f.operator), "measure")
+	return publisher.New(platform.NewStore(f.storeAddress(), &f.operator), "measure")
 }
 
 // dump is the part of a node's state dump that is measured.
--- a/internal/meter/conn.go
+++ b/internal/meter/conn.go
@@ -75,6 +75,9 @@
 	return n
 }
 
+// NetConn returns the connection underneath.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Written implements Counted. It counts what was handed to the connection,
 // whether or not the write succeeded.
 func (c *conn) Written() uint64 { return c.written.Load() }
--- a/internal/meter/instruments.go
+++ b/internal/meter/instruments.go
@@ -49,6 +49,19 @@
 	return err
 }
 
+// Histogram registers a distribution with upper bounds and returns what takes
+// a value.
+func (i *Instruments) Histogram(name, unit, description string, bounds []float64) (func(float64), error) {
+	h, err := i.meter.Float64Histogram(name,
+		metric.WithUnit(unit),
+		metric.WithDescription(description),
+		metric.WithExplicitBucketBoundaries(bounds...))
+	if err != nil {
+		return nil, err
+	}
+	return func(v float64) { h.Record(context.Background(), v) }, nil
+}
+
 // Handler serves the values in the Prometheus text format.
 func (i *Instruments) Handler() http.Handler {
 	return promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{})
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -13,53 +13,182 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
-// AnnouncementTTL is how long an announcement holds; targets repeat it.
-const AnnouncementTTL = 5 * time.Second
+const (
+	// DefaultTTL is how long an announcement holds; targets repeat it.
+	DefaultTTL = 5 * time.Second
+	// departureRetention is how long a life that has left is remembered, so
+	// that its late announcements do not bring it back.
+	departureRetention = 2 * time.Minute
+)
 
-// MaxIdleConnections is the number of connections kept open to a target.
-const MaxIdleConnections = 130
+// Announcement is what a target says of itself.
+type Announcement struct {
+	// Instance names one life of the target; empty where targets do not tell.
+	Instance string
+	// Born is when that life began, in Unix milliseconds, and Sequence grows
+	// with each of its announcements. Together they order announcements.
+	Born     int64
+	Sequence uint64
+	Service  string
+	Address  string
+	// Slots and Connections bound what the target takes; 0 leaves the bounds
+	// of its service.
+	Slots       int
+	Connections int
+	Draining    bool
+	// Cold is how much longer the target is slow after its start.
+	Cold time.Duration
+}
 
 // Target is a target beside this node.
 type Target struct {
-	gossiper.Target
+	Announcement
 
 	Gate *gatekeeper.Gate
 	// Announced is when this life of the target was first announced.
 	Announced time.Time
 	// Until is when the target is taken for gone unless it is announced again.
 	Until time.Time
+	// Down says that the target refused connections since it was announced.
+	Down bool
+}
+
+// Outcome says what became of an announcement.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Renewed means that a known life goes on.
+	Renewed Outcome = iota + 1
+	// Added means that a new life has begun.
+	Added
+	// Drained means that the target's gate has closed.
+	Drained
+	// Stale means that the announcement is older than what is known.
+	Stale
+)
+
+var outcomeNames = [...]string{"", "renewed", "added", "drained", "stale"}
+
+// String returns the name used in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// departure is the end of a life.
+type departure struct {
+	born int64
+	at   time.Time
 }
 
 // Registrar holds the targets of one node. Its zero value holds none.
 type Registrar struct {
 	// Changed is called with the new list after every change, when set.
 	Changed func([]gossiper.Target)
+	// TTL is how long an announcement holds; zero stands for DefaultTTL.
+	TTL time.Duration
 
-	mu      sync.Mutex
-	targets map[string]*Target
+	mu       sync.Mutex
+	targets  map[string]*Target
+	departed map[string]departure
 }
 
 // Announce adds or renews a target. A target that was lost starts cold; one
 // that drains goes on draining.
-func (r *Registrar) Announce(t gossiper.Target, l router.Limits, now time.Time) {
+func (r *Registrar) Announce(a Announcement, l router.Limits, now time.Time) Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o, ok := r.targets[t.Address]
-	if ok && o.Service == t.Service {
-		o.Until = now.Add(AnnouncementTTL)
-		t.Draining = o.Draining
-		if o.Target != t {
-			o.Target = t
-			o.Gate.Limit(l)
-			r.notify()
-		}
-		return
+	if r.late(a) {
+		return Stale
+	}
+	o, ok := r.targets[a.Address]
+	if !ok || !o.sameLife(a) {
+		return r.add(a, l, now)
+	}
+	return r.renew(o, a, l, now)
+}
+
+// late reports whether a comes from a life that has ended, or was overtaken
+// by a later announcement.
+func (r *Registrar) late(a Announcement) bool {
+	if d, ok := r.departed[a.Instance]; ok && a.Born <= d.born {
+		return true
+	}
+	o, ok := r.targets[a.Address]
+	if !ok {
+		return false
+	}
+	if a.Born != o.Born {
+		return a.Born < o.Born
+	}
+	return a.Instance != "" && a.Instance == o.Instance && a.Sequence <= o.Sequence
+}
+
+func (t *Target) sameLife(a Announcement) bool {
+	return t.Service == a.Service && t.Instance == a.Instance && t.Born == a.Born
+}
+
+func (r *Registrar) add(a Announcement, l router.Limits, now time.Time) Outcome {
+	if o, ok := r.targets[a.Address]; ok {
+		o.Gate.Drain()
 	}
 	if r.targets == nil {
 		r.targets = make(map[string]*Target)
 	}
-	r.targets[t.Address] = &Target{Target: t, Gate: gatekeeper.New(l, now), Announced: now, Until: now.Add(AnnouncementTTL)}
+	opened := now
+	if a.Instance != "" {
+		opened = now.Add(a.Cold - gatekeeper.WarmUp)
+	}
+	t := &Target{Announcement: a, Gate: gatekeeper.New(l, opened), Announced: now, Until: now.Add(r.ttl())}
+	r.targets[a.Address] = t
+	if a.Draining {
+		t.Gate.Drain()
+	}
 	r.notify()
+	if a.Draining {
+		return Drained
+	}
+	return Added
+}
+
+func (r *Registrar) renew(o *Target, a Announcement, l router.Limits, now time.Time) Outcome {
+	o.Until = now.Add(r.ttl())
+	begins := a.Draining && !o.Draining
+	a.Draining = a.Draining || o.Draining
+	changed := o.Down || o.record() != record(a)
+	o.Down = false
+	o.Announcement = a
+	if begins {
+		o.Gate.Drain()
+	}
+	if changed {
+		o.Gate.Limit(l)
+		r.notify()
+	}
+	if begins {
+		return Drained
+	}
+	return Renewed
+}
+
+func (r *Registrar) ttl() time.Duration {
+	if r.TTL > 0 {
+		return r.TTL
+	}
+	return DefaultTTL
+}
+
+// record returns what other nodes are told of a target.
+func record(a Announcement) gossiper.Target {
+	return gossiper.Target{
+		Service:     a.Service,
+		Address:     a.Address,
+		Draining:    a.Draining,
+		Slots:       a.Slots,
+		Connections: a.Connections,
+	}
+}
+
+func (t *Target) record() gossiper.Target {
+	return record(t.Announcement)
 }
 
 // Find returns the target of a service at address, whether it drains or not.
@@ -100,6 +229,52 @@
 	return l
 }
 
+// Depart stops new work for one life of a target, for good. It reports whether
+// that life was known.
+func (r *Registrar) Depart(instance string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.targets {
+		if t.Instance != instance {
+			continue
+		}
+		r.remember(t.Announcement, now)
+		t.Gate.Drain()
+		if !t.Draining {
+			t.Draining = true
+			r.notify()
+		}
+		return true
+	}
+	return false
+}
+
+func (r *Registrar) remember(a Announcement, now time.Time) {
+	if r.departed == nil {
+		r.departed = make(map[string]departure)
+	}
+	for n, d := range r.departed {
+		if now.Sub(d.at) > departureRetention {
+			delete(r.departed, n)
+		}
+	}
+	r.departed[a.Instance] = departure{born: a.Born, at: now}
+}
+
+// Lose notes that the target at address refused a connection. It gets no new
+// work until it is announced again.
+func (r *Registrar) Lose(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.targets[address]
+	if !ok || t.Down {
+		return false
+	}
+	t.Down = true
+	r.notify()
+	return true
+}
+
 // Remove forgets the target at address, which gets no new work.
 func (r *Registrar) Remove(address string) bool {
 	r.mu.Lock()
@@ -115,11 +290,11 @@
 }
 
 // Expire removes the targets that were not announced again in time.
-func (r *Registrar) Expire(now time.Time) []gossiper.Target {
-	var l []gossiper.Target
+func (r *Registrar) Expire(now time.Time) []Announcement {
+	var l []Announcement
 	for _, t := range r.List() {
 		if now.After(t.Until) && r.Remove(t.Address) {
-			l = append(l, t.Target)
+			l = append(l, t.Announcement)
 		}
 	}
 	return l
@@ -147,7 +322,9 @@
 	}
 	l := make([]gossiper.Target, 0, len(r.targets))
 	for _, t := range r.list() {
-		l = append(l, t.Target)
+		if !t.Down {
+			l = append(l, t.record())
+		}
 	}
 	r.Changed(l)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/limiter"
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
@@ -45,6 +46,7 @@
 	gossiper *gossiper.Gossiper
 	slots    int
 	budget   *limiter.Bucket
+	document *Document
 
 	// lease and slot are what this node holds while it is a relay.
 	lease     storer.LeaseID
@@ -52,9 +54,20 @@
 	connected atomic.Bool
 }
 
-// New returns a relayer that competes for one of slots in its data centre.
-func New(s storer.Store, h *holder.Holder, g *gossiper.Gossiper, slots int) *Relayer {
+// Document is a configuration that somebody else than the product's own
+// commands keeps in the store, whole, under one key.
+type Document struct {
+	Key string
+	// Decode returns the version of the document, which only grows, and the
+	// profile that it describes.
+	Decode func(data []byte) (uint64, router.Profile, error)
+}
+
+// New returns a relayer that competes for one of slots in its data centre. The
+// configuration is read from d, or from the product's own records if d is nil.
+func New(s storer.Store, h *holder.Holder, g *gossiper.Gossiper, slots int, d *Document) *Relayer {
 	return &Relayer{
+		document: d,
 		store:    s,
 		holder:   h,
 		gossiper: g,
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -13,45 +14,88 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
-// watch waits for changes of the head record and applies them.
+// watch waits for changes of the configuration in the store and applies them.
 func (r *Relayer) watch(ctx context.Context) {
-	var n uint64
+	var held storer.Value
 	known := false
 	b := sleeper.Backoff{First: minBackoff, Max: maxBackoff}
 	for ctx.Err() == nil {
-		v, changed, err := r.next(ctx, n, known)
+		begun := time.Now()
+		v, changed, err := r.next(ctx, held, known)
 		if err == nil && changed {
 			err = r.take(ctx, v)
 		}
-		r.connected.Store(err == nil)
+		r.setConnected(err)
 		if err != nil {
-			klog.V(1).Infof(logPrefix+"Watching the store failed: %v", err)
+			klog.V(1).InfoS("Watching the store failed", "key", r.key(), "cause", err)
 			b.Sleep(ctx)
 			known = false
 			continue
 		}
 		b.Reset()
-		if changed {
-			n = v.Revision
-			known = true
+		held, known = v, true
+		if !changed && time.Since(begun) < minBackoff {
+			// An answer without news that came at once would come again.
+			sleeper.Sleep(ctx, minBackoff)
 		}
 	}
 }
 
-// next reads the head record, or waits until its revision is not n.
-func (r *Relayer) next(ctx context.Context, n uint64, known bool) (storer.Value, bool, error) {
+// setConnected notes and logs when the store is lost and found.
+func (r *Relayer) setConnected(err error) {
+	if r.connected.Swap(err == nil) == (err == nil) {
+		return
+	}
+	if err != nil {
+		klog.InfoS("Store lost", "cause", err)
+		return
+	}
+	klog.InfoS("Store found")
+}
+
+// key is where the configuration lies in the store.
+func (r *Relayer) key() string {
+	if r.document != nil {
+		return r.document.Key
+	}
+	return storer.HeadKey
+}
+
+// next reads the configuration's record, or waits until it changes.
+func (r *Relayer) next(ctx context.Context, held storer.Value, known bool) (storer.Value, bool, error) {
 	if known {
-		return r.store.Watch(ctx, storer.HeadKey, n, watchWait)
+		return r.store.Watch(ctx, r.key(), held, watchWait)
 	}
-	v, err := r.store.Get(ctx, storer.HeadKey)
+	v, err := r.store.Get(ctx, r.key())
 	if judge.Is(err, judge.NotFound) {
 		return storer.Value{}, true, nil
 	}
 	return v, err == nil, err
 }
 
+// takeDocument applies a configuration of another maker.
+func (r *Relayer) takeDocument(v storer.Value) error {
+	if v.Revision == 0 {
+		return nil
+	}
+	n, p, err := r.document.Decode(v.Data)
+	if err != nil {
+		// Waiting is all that can be done: the next version may be sound.
+		klog.ErrorS(err, "Configuration is not usable", "key", r.document.Key, "revision", v.Revision)
+		return nil
+	}
+	f := encoder.Seal(p)
+	s := accepter.State{Generation: n}.WithEntries([]accepter.Entry{{Profile: p.Name, Version: n, Digest: f.Digest}})
+	o, err := r.holder.Offer(s, []*holder.Profile{holder.NewProfile(f)})
+	klog.InfoS("Configuration read from the store", "generation", n, "revision", v.Revision, "outcome", o, "routes", len(p.Routes))
+	return err
+}
+
 // take applies the stored state, or repairs it when the store has gone back.
 func (r *Relayer) take(ctx context.Context, v storer.Value) error {
+	if r.document != nil {
+		return r.takeDocument(v)
+	}
 	s := accepter.State{}
 	if v.Revision != 0 {
 		d, err := accepter.DecodeState(v.Data)
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -12,29 +12,54 @@
 	// maxCredit bounds the retries that may be saved up for a service.
 	maxCredit = 20.0
 	percent   = 100.0
+	// ownPart is the part of the fleet's bounds that is spent here: what a
+	// target calls again when it runs a request again counts as well.
+	ownPart = 0.5
 )
 
 // Budget bounds the retries of each service to a share of its calls, so that
 // a failing service is not given a multiple of its load. Its zero value is
 // ready to use.
 type Budget struct {
+	// Percent bounds the share of every service; zero leaves it to the service.
+	Percent int
+	// Slack is the number of retries that all nodes together may make beyond
+	// the share of a service; zero stands for a fixed number for each node.
+	Slack float64
+
 	mu      sync.Mutex
 	credits map[string]float64
 }
 
-// Deposit notes a first attempt.
-func (b *Budget) Deposit(s router.Service) {
+// Deposit notes a first attempt at one of nodes nodes.
+func (b *Budget) Deposit(s router.Service, nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.credit(s.Name)
-	b.credits[s.Name] = min(maxCredit, c+float64(s.Retry.BudgetPercent)/percent)
+	c := b.credit(s.Name, nodes)
+	b.credits[s.Name] = min(b.limit(nodes), c+b.share(s))
+}
+
+func (b *Budget) share(s router.Service) float64 {
+	p := float64(s.Retry.BudgetPercent)
+	if b.Percent > 0 {
+		p = min(p, ownPart*float64(b.Percent))
+	}
+	return p / percent
+}
+
+// limit is the credit of a node after a calm time.
+func (b *Budget) limit(nodes int) float64 {
+	if b.Slack == 0 {
+		return maxCredit
+	}
+	return max(1, b.Slack*ownPart/float64(max(nodes, 1)))
 }
 
 // Withdraw spends a retry, if there is one.
-func (b *Budget) Withdraw(s router.Service) bool {
+func (b *Budget) Withdraw(s router.Service, nodes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.credit(s.Name)
+	c := b.credit(s.Name, nodes)
 	if c < 1 || s.Retry.BudgetPercent == 0 {
 		return false
 	}
@@ -43,13 +68,13 @@
 }
 
 // credit returns what is left; a service that is new here starts full.
-func (b *Budget) credit(service string) float64 {
+func (b *Budget) credit(service string, nodes int) float64 {
 	if b.credits == nil {
 		b.credits = make(map[string]float64)
 	}
 	c, ok := b.credits[service]
 	if !ok {
-		c = maxCredit
+		c = b.limit(nodes)
 		b.credits[service] = c
 	}
 	return c
@@ -70,20 +95,9 @@
 
 // Allowed reports whether another attempt is safe. A request that may have
 // run is made again only if it is idempotent.
-func (a Attempt) Allowed(p router.RetryPolicy) bool {
-	if a.Started || !a.Replayable || a.Number >= p.MaxAttempts {
+func (a Attempt) Allowed(maxAttempts int) bool {
+	if a.Started || !a.Replayable || a.Number >= maxAttempts {
 		return false
 	}
 	return a.Verdict == judge.NotRun || a.Idempotent
 }
-
-// SafeMethod reports whether a method is safe by RFC 9110, section 9.2.1, so
-// that repeating it never changes anything. PUT and DELETE are idempotent but
-// not safe: a late first attempt could undo a later request of the caller.
-func SafeMethod(method string) bool {
-	switch method {
-	case "GET", "HEAD", "OPTIONS", "TRACE":
-		return true
-	}
-	return false
-}
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -22,7 +22,7 @@
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			if g := c.attempt.Allowed(router.RetryPolicy{MaxAttempts: 3}); g != c.want {
+			if g := c.attempt.Allowed(3); g != c.want {
 				t.Errorf("got %v", g)
 			}
 		})
@@ -35,9 +35,9 @@
 	const calls = 1000
 	n := 0
 	for range calls {
-		b.Deposit(s)
+		b.Deposit(s, 1)
 		for range 3 {
-			if b.Withdraw(s) {
+			if b.Withdraw(s, 1) {
 				n++
 			}
 		}
@@ -45,7 +45,7 @@
 	if limit := calls*20/100 + maxCredit + 1; float64(n) > limit {
 		t.Errorf("%d retries for %d calls, at most %g", n, calls, limit)
 	}
-	if b.Withdraw(router.Service{Name: "none"}) {
+	if b.Withdraw(router.Service{Name: "none"}, 1) {
 		t.Error("a service without a budget was retried")
 	}
 }
--- a/internal/router/profile.go
+++ b/internal/router/profile.go
@@ -64,6 +64,9 @@
 	Hosts []string
 	// PathPrefix matches whole path segments.
 	PathPrefix string
+	// BelowPrefix says that only paths below the prefix match, not the prefix
+	// itself without its last slash.
+	BelowPrefix bool
 	// Methods lists HTTP methods; an empty list matches every method.
 	Methods []string
 	// Headers lists conditions that must all hold.
@@ -74,6 +77,16 @@
 	Timeout time.Duration
 	// Idempotent says that every method of the route may be repeated.
 	Idempotent bool
+	// AtMostOnce says that no method of the route may be repeated.
+	AtMostOnce bool
+	// Objective is the time within which an answer has its full value; zero
+	// when the route has none.
+	Objective time.Duration
+	// Priority ranks routes that meet at a target; 0 goes first.
+	Priority int
+	// MaxAttempts bounds the targets that one request is sent to; zero leaves
+	// the bound of the service.
+	MaxAttempts int
 }
 
 // HeaderMatch holds when a request's header has exactly this value.
@@ -88,6 +101,30 @@
 	Weight  int
 }
 
+// Repeatable reports whether a request with this method may run twice.
+func (r Route) Repeatable(method string) bool {
+	return !r.AtMostOnce && (r.Idempotent || safeMethod(method))
+}
+
+// safeMethod reports whether a method is safe by RFC 9110, section 9.2.1, so
+// that repeating it never changes anything. PUT and DELETE are idempotent but
+// not safe: a late first attempt could undo a later request of the caller.
+func safeMethod(method string) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "TRACE":
+		return true
+	}
+	return false
+}
+
+// Attempts returns the bound on the targets that one request is sent to.
+func (r Route) Attempts(s Service) int {
+	if r.MaxAttempts > 0 {
+		return r.MaxAttempts
+	}
+	return s.Retry.MaxAttempts
+}
+
 // Service returns the named service.
 func (p Profile) Service(name string) (Service, bool) {
 	i, ok := slices.BinarySearchFunc(p.Services, name, compareService)
@@ -106,6 +143,15 @@
 	return p.Routes[i], true
 }
 
+// Sorted returns the profile with services and routes sorted by name.
+func (p Profile) Sorted() Profile {
+	p.Services = slices.Clone(p.Services)
+	p.Routes = slices.Clone(p.Routes)
+	slices.SortFunc(p.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(p.Routes, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
+	return p
+}
+
 // WithDescription returns the profile with another description.
 func (p Profile) WithDescription(text string) Profile {
 	p.Description = text
--- /dev/null
+++ b/internal/router/spreader.go
@@ -0,0 +1,65 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+)
+
+// Spreader shares the requests of each route between its destinations so that
+// the shares keep to the weights also over a short time, which random draws
+// would not. Its zero value is ready to use.
+type Spreader struct {
+	mu     sync.Mutex
+	routes map[string]*spread
+}
+
+// spread counts, for each destination, how far it is behind its share.
+type spread struct {
+	destinations []Destination
+	behind       []float64
+}
+
+// Choose picks the destination that is furthest behind its share. Weights of
+// zero are never chosen.
+func (s *Spreader) Choose(r Route) (Destination, bool) {
+	if len(r.Destinations) == 1 {
+		return r.Destinations[0], r.Destinations[0].Weight > 0
+	}
+	sum := 0
+	for _, d := range r.Destinations {
+		sum += d.Weight
+	}
+	if sum == 0 {
+		return Destination{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.spread(r)
+	best := -1
+	for i, d := range p.destinations {
+		p.behind[i] += float64(d.Weight) / float64(sum)
+		if d.Weight > 0 && (best < 0 || p.behind[i] > p.behind[best]) {
+			best = i
+		}
+	}
+	p.behind[best]--
+	return p.destinations[best], true
+}
+
+func (s *Spreader) spread(r Route) *spread {
+	p, ok := s.routes[r.Name]
+	if ok && slices.Equal(p.destinations, r.Destinations) {
+		return p
+	}
+	if s.routes == nil {
+		s.routes = make(map[string]*spread)
+	}
+	p = &spread{destinations: r.Destinations, behind: make([]float64, len(r.Destinations))}
+	// Nodes that start together must not all choose the same one first.
+	for i := range p.behind {
+		p.behind[i] = rand.Float64()
+	}
+	s.routes[r.Name] = p
+	return p
+}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -82,9 +82,9 @@
 		return Route{}, false
 	}
 	for k := trimSlash(q.Path); ; k = parent(k) {
-		for _, r := range p[k] {
-			if r.matches(q) {
-				return r, true
+		for i := range p[k] {
+			if r := &p[k][i]; r.matches(q) {
+				return *r, true
 			}
 		}
 		if k == "" {
@@ -93,7 +93,10 @@
 	}
 }
 
-func (r Route) matches(q Request) bool {
+func (r *Route) matches(q Request) bool {
+	if r.BelowPrefix && !strings.HasPrefix(q.Path, r.PathPrefix) {
+		return false
+	}
 	if len(r.Methods) > 0 && !slices.Contains(r.Methods, q.Method) {
 		return false
 	}
--- a/internal/runner/local.go
+++ b/internal/runner/local.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+	"k8s.io/klog/v2"
+
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
+	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 	"github.com/dragonflydoor/dragonflydoor/internal/validator"
 )
@@ -23,9 +25,10 @@
 	defaultBodyBytes     = 1 << 20
 )
 
-// announcement is what a target says of itself.
+// announcement is what a target says of itself, with the profile that it wants.
 type announcement struct {
-	target  gossiper.Target
+	registrar.Announcement
+
 	profile string
 }
 
@@ -36,7 +39,7 @@
 	m.HandleFunc("POST /v1/targets/{address}/drain", n.drainTarget)
 	m.HandleFunc("DELETE /v1/targets/{address}", n.removeTarget)
 	m.HandleFunc("GET /v1/dump", n.dump)
-	m.Handle("GET /metrics", n.metrics())
+	m.Handle("GET /metrics", n.scraped)
 	return m
 }
 
@@ -59,11 +62,49 @@
 	if a.profile != "" {
 		n.entry.UseProfile(a.profile)
 	}
-	n.registrar.Announce(a.target, n.limits(a.target), time.Now())
+	n.take(a.Announcement)
+}
+
+// take registers what a target says of itself and logs what it changes.
+func (n *Node) take(a registrar.Announcement) {
+	o := n.registrar.Announce(a, n.limits(a), time.Now())
+	if o == registrar.Renewed {
+		return
+	}
+	klog.InfoS("Target announced itself", "outcome", o, "target", a.Address, "service", a.Service, "instance", a.Instance,
+		"born", a.Born, "sequence", a.Sequence, "draining", a.Draining, "slots", a.Slots, "cold", a.Cold)
+}
+
+// Announce takes the announcement of the target beside this node. One of a
+// service that the settings do not name is refused.
+func (n *Node) Announce(a registrar.Announcement) error {
+	l := n.live.Load()
+	if s := l.Service; s != "" && a.Service != s {
+		klog.InfoS("Announcement refused", "target", a.Address, "service", a.Service, "expected", s)
+		return fmt.Errorf("service %q is not the one beside node %s", a.Service, n.settings.Node)
+	}
+	if t := l.TargetAddress; t != "" {
+		// Only this address can be reached from here.
+		a.Address = t
+	}
+	n.take(a)
+	return nil
+}
+
+// Depart closes the gate of a target that leaves.
+func (n *Node) Depart(instance string) {
+	known := n.registrar.Depart(instance, time.Now())
+	klog.InfoS("Target leaves", "instance", instance, "known", known)
+}
+
+// Ready reports whether callers may be sent to this node: it has a
+// configuration, and is not about to stop.
+func (n *Node) Ready() bool {
+	return !n.entry.Draining() && n.holder.Current() != nil
 }
 
 // limits are the service's, lowered to what the target says it can take.
-func (n *Node) limits(t gossiper.Target) router.Limits {
+func (n *Node) limits(t registrar.Announcement) router.Limits {
 	l := router.Limits{Slots: defaultSlots, Connections: defaultConnections, Queue: defaultQueue, MaxBodyBytes: defaultBodyBytes}
 	if p := n.holder.Current().Serving(n.entry.Profile()); p != nil {
 		if s, ok := p.Service(t.Service); ok {
@@ -88,7 +129,7 @@
 		return announcement{}, err
 	}
 	a := announcement{
-		target: gossiper.Target{
+		Announcement: registrar.Announcement{
 			Service:     o.Required("service", validator.NameRule),
 			Address:     o.Required("address", "an IP number with port"),
 			Slots:       int(o.Number("slots", 0, 1, maxSlots)),
@@ -96,10 +137,10 @@
 		},
 		profile: o.Text("profile"),
 	}
-	if s := a.target.Service; s != "" && !validator.Name(s) {
+	if s := a.Service; s != "" && !validator.Name(s) {
 		o.Reject("service", validator.NameRule)
 	}
-	if a.target.Address != "" && !isAddress(a.target.Address) {
+	if a.Address != "" && !isAddress(a.Address) {
 		o.Reject("address", "an IP number with port")
 	}
 	if a.profile != "" && !validator.Name(a.profile) {
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -13,10 +13,15 @@
 
 // The units of instruments (UCUM).
 const (
-	bytesUnit = "By"
-	countUnit = ""
+	bytesUnit   = "By"
+	countUnit   = ""
+	secondsUnit = "s"
 )
 
+// durationBounds are the upper bounds of request durations, in seconds: denser
+// where the objectives of the users' routes lie.
+var durationBounds = []float64{.005, .01, .025, .05, .1, .15, .2, .3, .4, .5, .75, 1, 1.5, 2.5, 5}
+
 type counter struct {
 	name, unit, text string
 	value            func() uint64
@@ -31,7 +36,7 @@
 func (n *Node) metrics() http.Handler {
 	i, err := meter.NewInstruments()
 	if err != nil {
-		klog.Errorf(logPrefix+"Metrics are off: %v", err)
+		klog.ErrorS(err, "Metrics are off")
 		return http.NotFoundHandler()
 	}
 	for _, c := range n.counters() {
@@ -40,8 +45,12 @@
 	for _, g := range n.gauges() {
 		err = errors.Join(err, i.Gauge("dragonflydoor_"+g.name, g.unit, g.text, g.value))
 	}
-	if err != nil {
-		klog.Errorf(logPrefix+"Some metrics are off: %v", err)
+	h, e := i.Histogram("dragonflydoor_request_duration", secondsUnit, "Time from the arrival of a request to its answer.", durationBounds)
+	if e == nil {
+		n.stats.Observe = func(d time.Duration) { h(d.Seconds()) }
+	}
+	if err = errors.Join(err, e); err != nil {
+		klog.ErrorS(err, "Some metrics are off")
 	}
 	return i.Handler()
 }
@@ -56,6 +65,10 @@
 		{"retries", countUnit, "Calls made again.", n.stats.Retries.Load},
 		{"refused_not_run", countUnit, "Requests refused that have not run.", n.stats.NotRun.Load},
 		{"failed_may_have_run", countUnit, "Requests failed that may have run.", n.stats.MayHaveRun.Load},
+		{"target_connections_opened", countUnit, "Connections opened to targets.", func() uint64 { return n.gate.Connections().Opened }},
+		{"target_connections_reused", countUnit, "Exchanges on kept connections to targets.", func() uint64 { return n.gate.Connections().Reused }},
+		{"peer_connections_opened", countUnit, "Connections opened to other nodes for calls.", func() uint64 { return n.peers.Stats().Opened }},
+		{"log_lines_dropped", countUnit, "Lines about requests that exceeded the rate.", n.lines.Dropped},
 		{"answers_cut", countUnit, "Answers broken off.", n.stats.Cut.Load},
 		{"refused_stale", countUnit, "Older generations refused.", func() uint64 { return n.holder.Refused(holder.Stale) }},
 		{"refused_forked", countUnit, "Equal generations with other content refused.", func() uint64 { return n.holder.Refused(holder.Forked) }},
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -7,17 +7,20 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/configurer"
 	"github.com/dragonflydoor/dragonflydoor/internal/connector"
+	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/forwarder"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/joiner"
+	"github.com/dragonflydoor/dragonflydoor/internal/logger"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 	"github.com/dragonflydoor/dragonflydoor/internal/relayer"
@@ -37,10 +40,15 @@
 // Node is one process of the mesh.
 type Node struct {
 	settings configurer.Settings
-	started  time.Time
-	control  meter.Traffic
-	calls    meter.Traffic
-	stats    forwarder.Stats
+	// live holds the settings as they were read last.
+	live    atomic.Pointer[configurer.Settings]
+	started time.Time
+	control meter.Traffic
+	calls   meter.Traffic
+	stats   forwarder.Stats
+	lines   *logger.Lines
+	around  Surroundings
+	store   *storeSwitch
 
 	holder     holder.Holder
 	tallier    syncer.Tallier
@@ -53,11 +61,15 @@
 	relayer    *relayer.Relayer
 	gate       *forwarder.Gate
 	entry      *forwarder.Entry
+	peers      *exchanger.Client
+	scraped    http.Handler
 
 	sockets sockets
 	peer    *http.Server
 	caller  *http.Server
 	local   *http.Server
+	ready   *http.Server
+	scrape  *http.Server
 
 	// stopping is done once a stop has begun.
 	stopping context.Context
@@ -69,13 +81,18 @@
 	peer   net.Listener
 	caller net.Listener
 	local  net.Listener
+	ready  net.Listener
+	scrape net.Listener
 	packet net.PacketConn
 }
 
 // New opens the sockets of a node and puts its parts together.
-func New(s configurer.Settings) (*Node, error) {
-	n := &Node{settings: s, started: time.Now()}
-	store := storer.NewClient(s.StoreAddress, &n.control)
+func New(s configurer.Settings, around Surroundings) (*Node, error) {
+	n := &Node{settings: s, around: around, started: time.Now(), lines: logger.NewLines()}
+	n.live.Store(&s)
+	n.registrar.TTL = s.AnnouncementTTL
+	store := newSwitch(around.Store(s.StoreAddress, &n.control))
+	n.store = store
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -87,19 +104,28 @@
 }
 
 func (n *Node) listen() error {
+	l := []struct {
+		name, address string
+		listener      *net.Listener
+	}{
+		{"peer_bind_address", n.settings.PeerBindAddress, &n.sockets.peer},
+		{"caller_address", n.settings.CallerAddress, &n.sockets.caller},
+		{"local_address", n.settings.LocalAddress, &n.sockets.local},
+		{"ready_address", n.settings.ReadyAddress, &n.sockets.ready},
+		{"metrics_address", n.settings.MetricsAddress, &n.sockets.scrape},
+	}
 	var err error
-	if n.sockets.peer, err = net.Listen("tcp", n.settings.PeerBindAddress); err != nil {
-		return fmt.Errorf("runner: peer_bind_address: %w", err)
+	for _, s := range l {
+		if s.address == "" {
+			continue
+		}
+		if *s.listener, err = net.Listen("tcp", s.address); err != nil {
+			return fmt.Errorf("runner: %s: %w", s.name, err)
+		}
 	}
 	if n.sockets.packet, err = net.ListenPacket("udp", n.settings.PeerBindAddress); err != nil {
 		return fmt.Errorf("runner: peer_bind_address: %w", err)
 	}
-	if n.sockets.caller, err = net.Listen("tcp", n.settings.CallerAddress); err != nil {
-		return fmt.Errorf("runner: caller_address: %w", err)
-	}
-	if n.sockets.local, err = net.Listen("tcp", n.settings.LocalAddress); err != nil {
-		return fmt.Errorf("runner: local_address: %w", err)
-	}
 	return nil
 }
 
@@ -123,16 +149,35 @@
 }
 
 func (n *Node) buildDistribution(store storer.Store) {
-	n.relayer = relayer.New(store, &n.holder, n.gossiper, n.settings.RelaysPerDataCenter)
+	n.relayer = relayer.New(store, &n.holder, n.gossiper, n.settings.RelaysPerDataCenter, n.around.Document)
 }
 
 func (n *Node) buildCalls() {
-	n.gate = forwarder.NewGate(&n.registrar, warden{n.gossiper}, &n.calls)
-	w := forwarder.Where{Node: n.settings.Node, DataCenter: n.settings.DataCenter, Profile: n.settings.Profile}
-	n.entry = forwarder.NewEntry(&n.holder, n.gossiper, n.gate, connector.NewTransport(&n.calls, n.settings.PeerBindAddress), &n.stats, w)
+	s := &n.settings
+	n.peers = connector.NewPeers(&n.calls, s.PeerBindAddress)
+	n.gate = forwarder.NewGate(&n.registrar, warden{n.gossiper}, n.around.Dialect, &n.calls)
+	w := forwarder.Where{
+		Node: s.Node, DataCenter: s.DataCenter, Profile: s.Profile,
+		Service: s.Service, TargetHost: hostOf(s.TargetAddress),
+	}
+	n.entry = forwarder.NewEntry(forwarder.Parts{
+		Holder:       &n.holder,
+		Mesh:         n.gossiper,
+		Gate:         n.gate,
+		Peers:        n.peers,
+		Stats:        &n.stats,
+		Lines:        n.lines,
+		RetryPercent: s.RetryPercent,
+		RetrySlack:   s.RetrySlack,
+	}, n.around.Dialect, w)
+	n.scraped = n.metrics()
 	n.peer = connector.NewServer(n.peerHandler())
 	n.caller = connector.NewServer(n.entry)
-	n.local = connector.NewServer(n.localHandler())
+	n.local = connector.NewServer(n.around.Local(n, n.localHandler()))
+	if n.around.Ready != nil {
+		n.ready = connector.NewServer(n.around.Ready(n))
+	}
+	n.scrape = connector.NewServer(n.scraped)
 }
 
 // Run serves until ctx is done, then drains and returns. A second signal on
@@ -140,16 +185,23 @@
 func (n *Node) Run(ctx context.Context, abort <-chan struct{}) {
 	n.serve()
 	n.startLoops()
-	klog.Infof(logPrefix+"Node %s of %s is up.", n.settings.Node, n.settings.DataCenter)
+	klog.InfoS("Node is up", "node", n.settings.Node, "dataCenter", n.settings.DataCenter, "service", n.settings.Service,
+		"peer", n.settings.PeerAddress, "store", n.settings.StoreAddress)
 	<-ctx.Done()
 	n.drain(abort)
-	klog.Info(logPrefix + "Stopped.")
+	klog.InfoS("Node has stopped", "node", n.settings.Node)
 }
 
 func (n *Node) serve() {
 	n.group.Go(func() { n.listenOn(n.peer, n.control.Listener(n.sockets.peer)) })
-	n.group.Go(func() { n.listenOn(n.caller, n.sockets.caller) })
+	n.group.Go(func() { n.listenOn(n.caller, connector.KeepHeads(n.sockets.caller)) })
 	n.group.Go(func() { n.listenOn(n.local, n.sockets.local) })
+	if n.sockets.ready != nil && n.ready != nil {
+		n.group.Go(func() { n.listenOn(n.ready, n.sockets.ready) })
+	}
+	if n.sockets.scrape != nil {
+		n.group.Go(func() { n.listenOn(n.scrape, n.sockets.scrape) })
+	}
 }
 
 func (n *Node) listenOn(s *http.Server, l net.Listener) {
@@ -184,8 +236,10 @@
 		select {
 		case now := <-t.C:
 			for _, g := range n.registrar.Expire(now) {
-				klog.Warningf(logPrefix+"Target %s of %s is silent, taken out.", g.Address, g.Service)
+				klog.InfoS("Target is silent and taken out", "target", g.Address, "service", g.Service, "instance", g.Instance)
 			}
+			n.gate.Sweep(now)
+			n.peers.Sweep(now)
 		case <-ctx.Done():
 			return
 		}
@@ -193,23 +247,30 @@
 }
 
 // drain tells peers, refuses new work, waits for what is in flight, and leaves.
+// While it lingers, the node still takes requests: callers learn of the stop
+// from its answers and from where it says whether it is ready.
 func (n *Node) drain(abort <-chan struct{}) {
-	klog.Info(logPrefix + "Draining.")
-	n.entry.Drain()
-	n.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithStatus(gossiper.Draining) })
-	n.registrar.DrainAll()
-	n.gossiper.Farewell()
-	ctx, cancel := context.WithCancel(context.Background())
+	l := n.live.Load()
+	klog.InfoS("Node is stopping", "node", n.settings.Node, "linger", l.Linger, "bound", l.StopBound)
+	ctx, cancel := context.WithTimeout(context.Background(), l.StopBound)
 	defer cancel()
 	n.group.Go(func() {
 		select {
 		case <-abort:
-			klog.Warning(logPrefix + "Asked again, stopping at once.")
+			klog.InfoS("Node is asked again to stop and stops at once", "node", n.settings.Node)
 			cancel()
 		case <-ctx.Done():
 		}
 	})
-	sleeper.Sleep(ctx, drainGrace)
+	n.entry.Stop()
+	n.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithStatus(gossiper.Draining) })
+	n.gossiper.Farewell()
+	sleeper.Sleep(ctx, l.Linger)
+	n.entry.Refuse()
+	n.registrar.DrainAll()
+	if l.Linger == 0 {
+		sleeper.Sleep(ctx, drainGrace)
+	}
 	n.finish(ctx)
 	cancel()
 	n.group.Wait()
@@ -222,8 +283,11 @@
 	n.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithStatus(gossiper.Left) })
 	n.gossiper.Farewell()
 	n.stop()
-	shutdown(ctx, n.peer)
-	shutdown(ctx, n.local)
+	for _, s := range []*http.Server{n.peer, n.local, n.ready, n.scrape} {
+		if s != nil {
+			shutdown(ctx, s)
+		}
+	}
 }
 
 func (n *Node) awaitIdle(ctx context.Context) {
--- a/internal/runner/peer.go
+++ b/internal/runner/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/forwarder"
@@ -16,17 +15,16 @@
 func (n *Node) peerHandler() http.Handler {
 	m := messenger.NewMeshServer(mesh{n})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, forwarder.GatePath+"/") {
-			meter.Attribute(r.Context(), &n.calls)
-			n.gate.ServeHTTP(w, r)
-			return
-		}
-		if strings.HasPrefix(r.URL.Path, forwarder.HomePath+"/") {
+		switch {
+		case r.Header.Get(forwarder.HopHeader) == "":
+			m.ServeHTTP(w, r)
+		case forwarder.ForHome(r.Header):
 			meter.Attribute(r.Context(), &n.calls)
 			n.entry.ServeHome(w, r)
-			return
+		default:
+			meter.Attribute(r.Context(), &n.calls)
+			n.gate.ServeHTTP(w, r)
 		}
-		m.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -19,7 +19,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/imitator"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
-	"github.com/dragonflydoor/dragonflydoor/internal/storer"
+	"github.com/dragonflydoor/dragonflydoor/platform"
 )
 
 const headerBound = 10 * time.Second
@@ -75,7 +75,7 @@
 }
 
 func (c *baselineCommand) run(ctx context.Context) error {
-	b := &imitator.Baseline{Store: storer.NewClient(c.Store, &meter.Traffic{})}
+	b := &imitator.Baseline{Store: platform.NewStore(c.Store, &meter.Traffic{})}
 	l, err := net.Listen("tcp", c.Address)
 	if err != nil {
 		return err
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -1,5 +1,5 @@
 // Package storer is the one interface through which the platform's key-value
-// service is met, and its client over HTTP.
+// service is met, and the keys of the product's own records in it.
 package storer
 
 import (
@@ -10,10 +10,15 @@
 // MaxValueBytes bounds a value of the store.
 const MaxValueBytes = 1 << 20
 
-// Value is what a key holds. Revision changes with every write of the key.
+// Value is what a key holds.
 type Value struct {
-	Data     []byte
+	Data []byte
+	// Revision changes with every write of the key; it is 0 for a key that
+	// does not exist.
 	Revision uint64
+	// AsOf is the revision of the whole store when the value was read. A watch
+	// that goes on from it misses nothing.
+	AsOf uint64
 }
 
 // Item is a key with its value.
@@ -41,9 +46,9 @@
 	Delete(ctx context.Context, key string, revision uint64) error
 	// List reads every key with a prefix, in order.
 	List(ctx context.Context, prefix string) ([]Item, error)
-	// Watch waits until the revision of a key is another than the given one
-	// and returns it, or false once the wait is over.
-	Watch(ctx context.Context, key string, revision uint64, wait time.Duration) (Value, bool, error)
+	// Watch waits until a key changes after held was read and returns its
+	// value, or held as of now and false once the wait is over.
+	Watch(ctx context.Context, key string, held Value, wait time.Duration) (Value, bool, error)
 	// Grant makes a lease that lapses unless it is kept alive.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease. It fails with judge.NotFound once it lapsed.
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -147,6 +147,12 @@
 	if t.PathPrefix != "" && !validPrefix(t.PathPrefix) {
 		c.add(p.at("path_prefix"), t.PathPrefix, prefixRule)
 	}
+	if t.Idempotent && t.AtMostOnce {
+		c.add(p.at("at_most_once"), true, "false where idempotent is true")
+	}
+	if t.BelowPrefix && !strings.HasSuffix(t.PathPrefix, "/") {
+		c.add(p.at("path_prefix"), t.PathPrefix, `a path that ends with "/" where below_prefix is true`)
+	}
 	c.each(p.at("hosts"), t.Hosts, hostPattern, hostRule)
 	c.each(p.at("methods"), t.Methods, methodPattern, methodRule)
 	for i, h := range t.Headers {
