--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -19,7 +19,7 @@
 const (
 	// maxPlacements bounds the gates that are asked to take one attempt, and
 	// eagerPlacements those that are asked for a slot that is free right now.
-	maxPlacements   = 6
+	maxPlacements   = 4
 	eagerPlacements = 2
 	// settleBound is how long a lost attempt may take to be settled: a few
 	// round trips, and a new connection.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -43,7 +43,7 @@
 	node       string
 	dataCenter string
 	profile    atomic.Pointer[string]
-	beside     atomic.Pointer[beside]
+	service    atomic.Pointer[string]
 	// stopping closes callers' connections after each answer, refusing takes
 	// no more requests.
 	stopping atomic.Bool
@@ -55,10 +55,8 @@
 	Node       string
 	DataCenter string
 	Profile    string
-	// Service is the service beside the node, and TargetHost the IP number of
-	// its target.
-	Service    string
-	TargetHost string
+	// Service is the service beside the node.
+	Service string
 }
 
 // Mesh is what an entry knows of the other nodes.
@@ -99,7 +97,7 @@
 		node:       w.Node,
 		dataCenter: w.DataCenter,
 	}
-	e.Beside(w.Service, w.TargetHost)
+	e.Beside(w.Service)
 	e.profile.Store(&w.Profile)
 	return e
 }
@@ -109,15 +107,9 @@
 	return e.view().Usable()
 }
 
-// beside is what stands beside the node.
-type beside struct {
-	service    string
-	targetHost string
-}
-
-// Beside changes the service beside the node and the IP number of its target.
-func (e *Entry) Beside(service, targetHost string) {
-	e.beside.Store(&beside{service: service, targetHost: targetHost})
+// Beside changes the service beside the node.
+func (e *Entry) Beside(service string) {
+	e.service.Store(&service)
 }
 
 // UseProfile changes the profile that routes requests.
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -44,6 +44,7 @@
 	warden    Warden
 	dialect   Dialect
 	ledger    ledger
+	working   workload
 }
 
 // NewGate returns the gate of the targets in r, which reports crashes to w.
@@ -161,6 +162,7 @@
 	if g.dialect.Instance != "" && t.Instance != "" {
 		c.header.Set(g.dialect.Instance, t.Instance)
 	}
+	defer g.working.begin(c.request)()
 	for n := 1; ; n++ {
 		c.header.Set(g.dialect.Deadline, formatLeft(c.deadline, time.Now()))
 		r, err := g.client.Do(ctx, c.target, c.exchange(g.echo()))
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,7 +29,8 @@
 	service  router.Service
 	body     *body
 	deadline time.Time
-	// nested says that the target beside this node made the request.
+	// nested says that the target beside this node made the request on behalf
+	// of another one that it runs.
 	nested bool
 	// refused holds the targets whose gates did not take the request, and ran
 	// those that may have run it.
@@ -86,8 +86,8 @@
 		return notRun(BadRequest, "%s has more than %d bytes", KeyHeader, maxKeyBytes), false
 	}
 	e.setDeadline(j)
-	j.nested = e.fromTarget(j.request.RemoteAddr)
-	if f, ok := j.readBody(w, e.beside.Load().service); !ok {
+	j.nested = e.gate.working.extends(j.id)
+	if f, ok := j.readBody(w, *e.service.Load()); !ok {
 		return f, false
 	}
 	if e.gate.warden.Blocked(j.print) {
@@ -133,12 +133,6 @@
 	j.deadline = j.arrived.Add(min(d, maxCallDeadline))
 }
 
-// fromTarget reports whether a request came from the target beside this node.
-func (e *Entry) fromTarget(address string) bool {
-	h, _, err := net.SplitHostPort(address)
-	return err == nil && h != "" && h == e.beside.Load().targetHost
-}
-
 func (j *job) readBody(w http.ResponseWriter, origin string) (Refusal, bool) {
 	b, err := readBody(w, j.request, j.service.Limits.MaxBodyBytes, j.deadline)
 	var m *http.MaxBytesError
@@ -178,7 +172,7 @@
 	}
 	h.Set(e.dialect.Request, j.id)
 	if e.dialect.Origin != "" {
-		h.Set(e.dialect.Origin, e.beside.Load().service)
+		h.Set(e.dialect.Origin, *e.service.Load())
 	}
 	if e.dialect.Instance != "" {
 		h.Del(e.dialect.Instance)
--- a/internal/forwarder/keyed.go
+++ b/internal/forwarder/keyed.go
@@ -148,7 +148,7 @@
 		return nil, judge.Error(errNotHome, judge.NotRun, "service %q is not in force here", c.service)
 	}
 	j.service = s
-	if f, ok := j.readBody(w, e.beside.Load().service); !ok {
+	if f, ok := j.readBody(w, *e.service.Load()); !ok {
 		return nil, judge.Error(kindOf(f.Reason), f.Verdict, "%s", f.Message)
 	}
 	h, since, ok := deduplicator.Home(e.view(), s.Name, j.key)
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -27,6 +27,10 @@
 	// fitShare is the part of a request's estimated duration that must fit in
 	// the time left: durations scatter, and half of them are shorter.
 	fitShare = 0.8
+	// lateQueueShare of the slots, as a divisor, is how long the queue may be that
+	// is joined by a request which misses its objective: a longer one is full of
+	// requests that do not.
+	lateQueueShare = 3
 	// failureWeight is the weight of the newest outcome in the share of
 	// failures, about the last twenty.
 	failureWeight = 0.05
@@ -101,6 +105,7 @@
 	ticket  Ticket
 	arrived time.Time
 	granted chan struct{}
+	rank    int
 	// pass or refusal is set before granted is closed.
 	pass    *Pass
 	refusal error
@@ -147,9 +152,7 @@
 	if g.draining {
 		return nil, nil, refuseDraining()
 	}
-	n := g.slots(now)
-	w := &waiter{ticket: t, arrived: now, granted: make(chan struct{})}
-	if len(g.running) < n && len(g.waiting) == 0 {
+	if len(g.running) < g.slots(now) && len(g.waiting) == 0 {
 		// A free slot is never refused: without new durations, an estimate that
 		// was once too long would stay so.
 		return g.admit(t, now), nil, nil
@@ -160,36 +163,79 @@
 	if len(g.waiting) >= g.limits.Queue {
 		return nil, nil, g.overloaded(now, "gate: the queue is full")
 	}
+	w := &waiter{ticket: t, arrived: now, granted: make(chan struct{})}
+	g.rank(now)
+	g.place(w, now)
 	i, _ := slices.BinarySearchFunc(g.waiting, w, compare)
-	if e := now.Add(g.expectedWait(i, n, now)); !g.fits(w, e) {
+	start := now.Add(g.forecast(now).wait(i))
+	if !g.fits(w, start, t.Deadline) {
 		return nil, nil, g.overloaded(now, "gate: the wait is longer than what is left")
 	}
+	if g.late(w, start) && len(g.waiting) >= g.slots(now)/lateQueueShare {
+		return nil, nil, g.overloaded(now, "gate: the answer would come too late to be worth the wait")
+	}
 	g.waiting = slices.Insert(g.waiting, i, w)
 	return nil, w, nil
 }
 
-// compare orders waiters: work that was begun elsewhere, then by priority,
-// then by deadline.
+// The ranks of waiters.
+const (
+	// nestedRank goes first: other targets hold slots for it.
+	nestedRank = iota
+	// timelyRank can still be answered within the objective.
+	timelyRank
+	// lateRank takes what the others leave.
+	lateRank
+)
+
+// rank orders the queue anew: what could be answered within its objective when
+// it came may be late by now.
+func (g *Gate) rank(now time.Time) {
+	for _, w := range g.waiting {
+		g.place(w, now)
+	}
+	slices.SortStableFunc(g.waiting, compare)
+}
+
+func (g *Gate) place(w *waiter, now time.Time) {
+	switch {
+	case w.ticket.Nested:
+		w.rank = nestedRank
+	case g.late(w, now):
+		w.rank = lateRank
+	default:
+		w.rank = timelyRank
+	}
+}
+
+// late reports whether a request that begins at start misses its objective.
+func (g *Gate) late(w *waiter, start time.Time) bool {
+	o := w.ticket.Objective
+	return !w.ticket.Nested && !o.IsZero() && !g.fits(w, start, o)
+}
+
+// compare orders waiters by rank, then by priority, then by what is due first.
 func compare(a, b *waiter) int {
 	return cmp.Or(
-		-cmp.Compare(flag(a.ticket.Nested), flag(b.ticket.Nested)),
+		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.ticket.Priority, b.ticket.Priority),
-		a.ticket.Deadline.Compare(b.ticket.Deadline),
+		a.due().Compare(b.due()),
 		a.arrived.Compare(b.arrived),
 	)
 }
 
-func flag(b bool) int {
-	if b {
-		return 1
+// due is when a waiter's answer loses value next.
+func (w *waiter) due() time.Time {
+	if w.rank == timelyRank && !w.ticket.Objective.IsZero() {
+		return w.ticket.Objective
 	}
-	return 0
+	return w.ticket.Deadline
 }
 
-// fits reports whether a request that begins at start can end in time.
-func (g *Gate) fits(w *waiter, start time.Time) bool {
+// fits reports whether a request that begins at start can end by due.
+func (g *Gate) fits(w *waiter, start, due time.Time) bool {
 	d := time.Duration(fitShare * float64(g.estimate(w.ticket.Class)))
-	return !start.Add(d).After(w.ticket.Deadline)
+	return !start.Add(d).After(due)
 }
 
 // estimate returns the average duration of a class, or of all.
@@ -210,26 +256,36 @@
 	return max(1, int(s*float64(g.limits.Slots)))
 }
 
-// expectedWait estimates when the waiter at place i of the queue would get one
-// of n slots, from the time that the running requests still need.
-func (g *Gate) expectedWait(i, n int, now time.Time) time.Duration {
-	if n < 1 || len(g.running) == 0 {
-		return g.overall
-	}
-	l := make([]time.Duration, 0, len(g.running))
+// forecast is when the slots of a target are expected to become free.
+type forecast struct {
+	remaining []time.Duration
+	round     time.Duration
+}
+
+// forecast estimates the time that the running requests still need.
+func (g *Gate) forecast(now time.Time) forecast {
+	f := forecast{round: g.overall, remaining: make([]time.Duration, 0, len(g.running))}
 	for _, p := range g.running {
 		e := g.estimate(p.class)
 		// What has run longer than usual is likely to go on for a while.
-		l = append(l, max(e-now.Sub(p.since), e/4))
+		f.remaining = append(f.remaining, max(e-now.Sub(p.since), e/4))
+	}
+	slices.Sort(f.remaining)
+	return f
+}
+
+// wait returns when the waiter at place i of the queue is expected to get a
+// slot. The places are served in rounds of the running requests.
+func (f forecast) wait(i int) time.Duration {
+	n := len(f.remaining)
+	if n == 0 {
+		return f.round
 	}
-	slices.Sort(l)
-	// The places of the queue are served in rounds of the running requests.
-	rounds := i / len(l)
-	return l[i%len(l)] + time.Duration(rounds)*g.overall
+	return f.remaining[i%n] + time.Duration(i/n)*f.round
 }
 
 func (g *Gate) overloaded(now time.Time, reason string) error {
-	w := g.expectedWait(len(g.waiting), g.slots(now), now)
+	w := g.forecast(now).wait(len(g.waiting))
 	return judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "%s", reason), w)
 }
 
@@ -280,26 +336,41 @@
 }
 
 // grant hands free slots to the waiters, and refuses those that can no longer
-// end in time.
+// end in time where they stand.
 func (g *Gate) grant(now time.Time) {
+	if len(g.waiting) == 0 {
+		return
+	}
+	g.rank(now)
 	n := g.slots(now)
+	for len(g.running) < n && len(g.waiting) > 0 {
+		w := g.waiting[0]
+		g.waiting = slices.Delete(g.waiting, 0, 1)
+		if !g.fits(w, now, w.ticket.Deadline) {
+			g.refuse(w, now)
+			continue
+		}
+		w.pass = g.admit(w.ticket, now)
+		close(w.granted)
+	}
+	f := g.forecast(now)
 	kept := g.waiting[:0]
 	for _, w := range g.waiting {
-		switch {
-		case !g.fits(w, now):
-			w.refusal = g.overloaded(now, "gate: what is left is too short by now")
-			close(w.granted)
-		case len(g.running) < n:
-			w.pass = g.admit(w.ticket, now)
-			close(w.granted)
-		default:
+		if g.fits(w, now.Add(f.wait(len(kept))), w.ticket.Deadline) {
 			kept = append(kept, w)
+			continue
 		}
+		g.refuse(w, now)
 	}
 	clear(g.waiting[len(kept):])
 	g.waiting = kept
 }
 
+func (g *Gate) refuse(w *waiter, now time.Time) {
+	w.refusal = g.overloaded(now, "gate: what is left is too short by now")
+	close(w.granted)
+}
+
 // abandon takes w out of the queue, or reports false if it has its answer.
 func (g *Gate) abandon(w *waiter) bool {
 	g.mu.Lock()
@@ -375,3 +446,10 @@
 func refuseDraining() error {
 	return judge.Error(judge.Unavailable, judge.NotRun, "gate: the target is draining")
 }
+
+func flag(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -156,10 +156,7 @@
 	s := &n.settings
 	n.peers = connector.NewPeers(&n.calls, s.PeerBindAddress)
 	n.gate = forwarder.NewGate(&n.registrar, warden{n.gossiper}, n.around.Dialect, &n.calls)
-	w := forwarder.Where{
-		Node: s.Node, DataCenter: s.DataCenter, Profile: s.Profile,
-		Service: s.Service, TargetHost: hostOf(s.TargetAddress),
-	}
+	w := forwarder.Where{Node: s.Node, DataCenter: s.DataCenter, Profile: s.Profile, Service: s.Service}
 	n.entry = forwarder.NewEntry(forwarder.Parts{
 		Holder:       &n.holder,
 		Mesh:         n.gossiper,
--- a/internal/runner/reload.go
+++ b/internal/runner/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"reflect"
 	"sync/atomic"
 	"time"
@@ -22,7 +21,7 @@
 	if o.StoreAddress != s.StoreAddress {
 		n.store.use(n.around.Store(s.StoreAddress, &n.control))
 	}
-	n.entry.Beside(s.Service, hostOf(s.TargetAddress))
+	n.entry.Beside(s.Service)
 }
 
 // fixed returns the part of s that a running node can not change.
@@ -47,15 +46,6 @@
 	return l
 }
 
-// hostOf returns the IP number of an address, empty when there is none.
-func hostOf(address string) string {
-	h, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return ""
-	}
-	return h
-}
-
 // storeSwitch is a store that can be replaced by the one at another address.
 type storeSwitch struct {
 	current atomic.Pointer[storer.Store]
