--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -77,6 +77,10 @@
 		return false
 	case e.dialect.Reserved == ownPrefix && j.request.Header.Get(RetryHeader) != "":
 		return false
+	case err == nil && e.pressure.high():
+		// A failure that a target answered with may well come of the overload,
+		// and repeating it adds to that.
+		return false
 	}
 	return a.Allowed(j.route.Attempts(j.service)) && e.budget.Withdraw(j.service, e.nodes())
 }
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/logger"
 	"github.com/dragonflydoor/dragonflydoor/internal/postponer"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
@@ -44,6 +45,7 @@
 	dataCenter string
 	profile    atomic.Pointer[string]
 	service    atomic.Pointer[string]
+	pressure   pressure
 	// stopping closes callers' connections after each answer, refusing takes
 	// no more requests.
 	stopping atomic.Bool
@@ -160,6 +162,7 @@
 		w.Header().Set(e.dialect.Profile, j.profile.Name+"@"+j.profile.Digest.Short())
 	}
 	a, err := e.runKeyed(j)
+	e.pressure.note(judge.Is(err, judge.Overloaded))
 	if err != nil {
 		e.refuse(w, j, refusalOf(err))
 		return
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -160,13 +160,13 @@
 	if t.Immediate {
 		return nil, nil, g.overloaded(now, "gate: no free slot")
 	}
-	if len(g.waiting) >= g.limits.Queue {
-		return nil, nil, g.overloaded(now, "gate: the queue is full")
-	}
 	w := &waiter{ticket: t, arrived: now, granted: make(chan struct{})}
 	g.rank(now)
 	g.place(w, now)
 	i, _ := slices.BinarySearchFunc(g.waiting, w, compare)
+	if i >= g.limits.Queue {
+		return nil, nil, g.overloaded(now, "gate: the queue is full")
+	}
 	start := now.Add(g.forecast(now).wait(i))
 	if !g.fits(w, start, t.Deadline) {
 		return nil, nil, g.overloaded(now, "gate: the wait is longer than what is left")
@@ -175,6 +175,11 @@
 		return nil, nil, g.overloaded(now, "gate: the answer would come too late to be worth the wait")
 	}
 	g.waiting = slices.Insert(g.waiting, i, w)
+	if n := len(g.waiting); n > g.limits.Queue {
+		// The last one makes room: nothing suggests that it would be served.
+		g.refuse(g.waiting[n-1], now)
+		g.waiting = slices.Delete(g.waiting, n-1, n)
+	}
 	return nil, w, nil
 }
 
@@ -336,7 +341,8 @@
 }
 
 // grant hands free slots to the waiters, and refuses those that can no longer
-// end in time where they stand.
+// end in time where they stand, and late ones beyond a few: timely requests
+// keep coming and go before them.
 func (g *Gate) grant(now time.Time) {
 	if len(g.waiting) == 0 {
 		return
@@ -354,13 +360,15 @@
 		close(w.granted)
 	}
 	f := g.forecast(now)
+	late := 0
 	kept := g.waiting[:0]
 	for _, w := range g.waiting {
-		if g.fits(w, now.Add(f.wait(len(kept))), w.ticket.Deadline) {
-			kept = append(kept, w)
+		late += flag(w.rank == lateRank)
+		if late > n/lateQueueShare || !g.fits(w, now.Add(f.wait(len(kept))), w.ticket.Deadline) {
+			g.refuse(w, now)
 			continue
 		}
-		g.refuse(w, now)
+		kept = append(kept, w)
 	}
 	clear(g.waiting[len(kept):])
 	g.waiting = kept
