Turn less urgent kinds away where they enter, account for repeats exactly

Cause: donations were put behind catalogue reads whose targets' calls go first at sijill, and half of the allowed repeats were left unused in case calls of repeated runs counted.

--- /dev/null
+++ b/internal/arbiter/arbiter_test.go
@@ -0,0 +1,115 @@
+package arbiter
+
+import (
+	"testing"
+	"time"
+)
+
+var (
+	booking = Kind{Name: "booking", Priority: 1, Services: []string{"ledger"}}
+	reading = Kind{Name: "reading", Priority: 2, Services: []string{"catalog"}}
+)
+
+// TestSharesMeetUnderOverload replays an overload of one service: readings
+// enter elsewhere, but each calls the ledger once, and those calls go first.
+func TestSharesMeetUnderOverload(t *testing.T) {
+	const bookings, readings, slots = 10, 20, 18
+	tests := []struct {
+		name    string
+		arbiter bool
+		fair    bool
+	}{
+		{"readings give way", true, true},
+		{"without an arbiter bookings starve", false, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var a Arbiter
+			now := time.Unix(1_800_000_000, 0)
+			a.Learn(reading, []string{"ledger"}, now)
+			served := map[string]int{}
+			for round := range 200 {
+				now = now.Add(100 * time.Millisecond)
+				a.Learn(reading, []string{"ledger"}, now)
+				free := slots
+				for range readings {
+					ok := !c.arbiter || a.Allow(reading, now)
+					ok = ok && free > 0
+					a.Note(reading, !ok, now)
+					if ok {
+						free--
+						served["reading"]++
+					}
+				}
+				for range bookings {
+					ok := free > 0
+					a.Note(booking, !ok, now)
+					if ok {
+						free--
+						served["booking"]++
+					}
+				}
+				if round == 99 {
+					clear(served)
+				}
+			}
+			b := float64(served["booking"]) / (100 * bookings)
+			r := float64(served["reading"]) / (100 * readings)
+			if fair := b > r-0.1 && b+r > 1; fair != c.fair {
+				t.Errorf("served %.2f of the bookings and %.2f of the readings", b, r)
+			}
+		})
+	}
+}
+
+func TestAllow(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tests := []struct {
+		name  string
+		setup func(a *Arbiter)
+		want  bool
+	}{
+		{"nothing seen", func(*Arbiter) {}, true},
+		{"a more urgent kind is refused, but elsewhere", func(a *Arbiter) {
+			for range 10 {
+				a.Note(booking, true, now)
+			}
+		}, true},
+		{"it is refused where calls lead", func(a *Arbiter) {
+			a.Learn(reading, []string{"ledger"}, now)
+			for range 10 {
+				a.Note(booking, true, now)
+			}
+		}, false},
+		{"it was, long ago", func(a *Arbiter) {
+			a.Learn(reading, []string{"ledger"}, now)
+			for range 10 {
+				a.Note(booking, true, now.Add(-time.Minute))
+			}
+		}, true},
+		{"a less urgent kind is refused", func(a *Arbiter) {
+			a.Learn(reading, []string{"ledger"}, now)
+			k := booking
+			k.Priority = 3
+			for range 10 {
+				a.Note(k, true, now)
+			}
+		}, true},
+		{"both are refused as often", func(a *Arbiter) {
+			a.Learn(reading, []string{"ledger"}, now)
+			for range 10 {
+				a.Note(booking, true, now)
+				a.Note(reading, true, now)
+			}
+		}, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var a Arbiter
+			c.setup(&a)
+			if g := a.Allow(reading, now); g != c.want {
+				t.Errorf("got %v", g)
+			}
+		})
+	}
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -215,7 +215,9 @@
 	c.deadline = c.deadline.Add(-wayBack)
 	if p.Node == e.node {
 		a, err := e.gate.do(ctx, c)
-		e.balancer.Learn(p.Address, c.class, e.gate.load(c), time.Now())
+		now := time.Now()
+		e.balancer.Learn(p.Address, c.class, e.gate.load(c), now)
+		e.arbiter.Learn(c.kind, e.gate.working.callees(c.class, now), now)
 		return a, err
 	}
 	a, err := e.sendRemote(ctx, c, p)
@@ -242,7 +244,9 @@
 		return nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "node %s answered without %s", p.Node, HopHeader)
 	}
 	if t.load != (gatekeeper.Load{}) {
-		e.balancer.Learn(p.Address, c.class, t.load, time.Now())
+		now := time.Now()
+		e.balancer.Learn(p.Address, c.class, t.load, now)
+		e.arbiter.Learn(c.kind, t.callees, now)
 	}
 	a, err := hold(r, c.method)
 	if t.refused {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/arbiter"
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
@@ -24,6 +25,8 @@
 	length   int64
 	request  string
 	deadline time.Time
+	// kind is known at the entry only.
+	kind arbiter.Kind
 }
 
 // ticket is what the gate of the target is told.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/arbiter"
 	"github.com/dragonflydoor/dragonflydoor/internal/balancer"
 	"github.com/dragonflydoor/dragonflydoor/internal/deduplicator"
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
@@ -46,6 +47,7 @@
 	profile    atomic.Pointer[string]
 	service    atomic.Pointer[string]
 	pressure   pressure
+	arbiter    arbiter.Arbiter
 	// stopping closes callers' connections after each answer, refusing takes
 	// no more requests.
 	stopping atomic.Bool
@@ -161,8 +163,7 @@
 	if e.dialect.Profile != "" {
 		w.Header().Set(e.dialect.Profile, j.profile.Name+"@"+j.profile.Digest.Short())
 	}
-	a, err := e.runKeyed(j)
-	e.pressure.note(judge.Is(err, judge.Overloaded))
+	a, err := e.serve(j)
 	if err != nil {
 		e.refuse(w, j, refusalOf(err))
 		return
@@ -177,6 +178,22 @@
 	}
 }
 
+// serve runs a request unless more urgent ones need its targets.
+func (e *Entry) serve(j *job) (*answer, error) {
+	k := j.kind()
+	if !j.nested && !e.arbiter.Allow(k, j.arrived) {
+		e.arbiter.Note(k, true, j.arrived)
+		return nil, judge.Error(judge.Overloaded, judge.NotRun, "more urgent requests than those of route %q are being refused", j.route.Name)
+	}
+	a, err := e.runKeyed(j)
+	refused := judge.Is(err, judge.Overloaded) && !judge.Is(err, errRejected)
+	e.pressure.note(refused)
+	if !j.nested {
+		e.arbiter.Note(k, refused, time.Now())
+	}
+	return a, err
+}
+
 func (e *Entry) refuse(w http.ResponseWriter, j *job, f Refusal) {
 	f.Request = j.id
 	if f.Reason == Draining || f.Reason == BadRequest {
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -162,7 +162,7 @@
 	if g.dialect.Instance != "" && t.Instance != "" {
 		c.header.Set(g.dialect.Instance, t.Instance)
 	}
-	defer g.working.begin(c.request)()
+	defer g.working.begin(c.request, c.class, c.repeat)()
 	for n := 1; ; n++ {
 		c.header.Set(g.dialect.Deadline, formatLeft(c.deadline, time.Now()))
 		r, err := g.client.Do(ctx, c.target, c.exchange(g.echo()))
@@ -280,7 +280,7 @@
 	h := w.Header()
 	copyHeader(h, a.header)
 	h.Set(g.dialect.Request, c.request)
-	h.Set(HopHeader, report{load: l}.format())
+	h.Set(HopHeader, report{load: l, callees: g.working.callees(c.class, time.Now())}.format())
 	if err := a.write(w); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -37,6 +37,7 @@
 	immediate   bool
 	nested      bool
 	repeatable  bool
+	repeat      bool
 	fingerprint quarantiner.Fingerprint
 }
 
@@ -53,6 +54,7 @@
 	immediateField   = "i"
 	nestedField      = "n"
 	repeatableField  = "m"
+	repeatField      = "g"
 	fingerprintField = "h"
 )
 
@@ -66,7 +68,7 @@
 			v.Set(n, s)
 		}
 	}
-	for n, b := range map[string]bool{immediateField: h.immediate, nestedField: h.nested, repeatableField: h.repeatable} {
+	for n, b := range map[string]bool{immediateField: h.immediate, nestedField: h.nested, repeatableField: h.repeatable, repeatField: h.repeat} {
 		if b {
 			v.Set(n, "1")
 		}
@@ -99,6 +101,7 @@
 		immediate:   v.Has(immediateField),
 		nested:      v.Has(nestedField),
 		repeatable:  v.Has(repeatableField),
+		repeat:      v.Has(repeatField),
 		fingerprint: parseFingerprint(v.Get(fingerprintField)),
 	}
 	h.priority, _ = strconv.Atoi(v.Get(priorityField))
@@ -124,6 +127,8 @@
 	reason  Reason
 	wait    time.Duration
 	load    gatekeeper.Load
+	// callees are the services that the target calls for requests of the class.
+	callees []string
 }
 
 const (
@@ -135,6 +140,7 @@
 	slotsField    = "l"
 	durationField = "d"
 	failuresField = "x"
+	calleeField   = "k"
 
 	permille = 1000
 )
@@ -147,6 +153,9 @@
 		durationField: {formatMicros(r.load.Duration)},
 		failuresField: {strconv.Itoa(int(r.load.Failures * permille))},
 	}
+	if len(r.callees) > 0 {
+		v[calleeField] = r.callees
+	}
 	if r.refused {
 		v.Set(verdictField, r.verdict.String())
 		v.Set(reasonField, string(r.reason))
@@ -166,6 +175,7 @@
 		reason:  Reason(v.Get(reasonField)),
 		wait:    parseMicros(v.Get(waitField)),
 		load:    gatekeeper.Load{Duration: parseMicros(v.Get(durationField))},
+		callees: v[calleeField],
 	}
 	r.load.Running, _ = strconv.Atoi(v.Get(runningField))
 	r.load.Waiting, _ = strconv.Atoi(v.Get(waitingField))
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/arbiter"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
@@ -86,7 +87,10 @@
 		return notRun(BadRequest, "%s has more than %d bytes", KeyHeader, maxKeyBytes), false
 	}
 	e.setDeadline(j)
-	j.nested = e.gate.working.extends(j.id)
+	var again bool
+	if j.nested, again = e.gate.working.extends(j.id, j.service.Name, j.arrived); again {
+		e.budget.Spend(j.service.Name, e.nodes())
+	}
 	if f, ok := j.readBody(w, *e.service.Load()); !ok {
 		return f, false
 	}
@@ -151,6 +155,15 @@
 	return j.route.Repeatable(j.request.Method)
 }
 
+// kind is the kind of requests that j belongs to.
+func (j *job) kind() arbiter.Kind {
+	k := arbiter.Kind{Name: j.route.Name, Priority: j.route.Priority}
+	for _, d := range j.route.Destinations {
+		k.Services = append(k.Services, d.Service)
+	}
+	return k
+}
+
 // verdict makes err speak for all attempts, not only for the last one.
 func (j *job) verdict(err error) error {
 	if !j.doubtful || judge.Of(err) == judge.MayHaveRun {
@@ -186,6 +199,7 @@
 			priority:    j.route.Priority,
 			nested:      j.nested,
 			repeatable:  j.repeatable(),
+			repeat:      j.sends > 0,
 			fingerprint: j.print,
 		},
 		method:   r.Method,
@@ -196,6 +210,7 @@
 		length:   j.body.length,
 		request:  j.id,
 		deadline: j.deadline,
+		kind:     j.kind(),
 	}
 	if j.route.Objective > 0 {
 		c.objective = max(j.route.Objective-time.Since(j.arrived), time.Millisecond)
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -12,9 +12,9 @@
 	// maxCredit bounds the retries that may be saved up for a service.
 	maxCredit = 20.0
 	percent   = 100.0
-	// ownPart is the part of the fleet's bounds that is spent here: what a
-	// target calls again when it runs a request again counts as well.
-	ownPart = 0.5
+	// ownPart is the part of the fleet's bounds that is spent here, so that
+	// restarted nodes and requests that ended elsewhere do not exceed them.
+	ownPart = 0.85
 )
 
 // Budget bounds the retries of each service to a share of its calls, so that
@@ -67,6 +67,14 @@
 	return true
 }
 
+// Spend notes a call that had to be made again for a request that runs again.
+// It may leave the service in debt.
+func (b *Budget) Spend(service string, nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.credits[service] = b.credit(service, nodes) - 1
+}
+
 // credit returns what is left; a service that is new here starts full.
 func (b *Budget) credit(service string, nodes int) float64 {
 	if b.credits == nil {
