Read the configuration at once after a restart, take over own slots, probe the target

Cause: after kill_all no node watched the store for 4.4 s, since the relay slots were held by leases of earlier lives; targets were unknown until their next heartbeat.

--- a/internal/encoder/profile.go
+++ b/internal/encoder/profile.go
@@ -54,6 +54,7 @@
 		Limits    limitsJSON `json:"limits"`
 		KeyWindow string     `json:"key_window"`
 		Fallback  string     `json:"fallback,omitempty"`
+		Health    string     `json:"health_path,omitempty"`
 	}
 	retryJSON struct {
 		MaxAttempts   int `json:"max_attempts"`
@@ -149,6 +150,8 @@
 		Limits:    readLimits(o.Object("limits")),
 		KeyWindow: o.Duration("key_window", defaultKeyWindow, minKeyWindow, maxKeyWindow),
 		Fallback:  o.Text("fallback"),
+
+		HealthPath: o.Text("health_path"),
 	}
 	o.Close()
 	return s
@@ -263,6 +266,7 @@
 		},
 		KeyWindow: s.KeyWindow.String(),
 		Fallback:  s.Fallback,
+		Health:    s.HealthPath,
 	}
 }
 
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -13,6 +13,12 @@
 	Profile string
 	// Instance names the life of the target that is meant; any other refuses.
 	Instance string
+	// Self names the life of the target that answers where it says whether it
+	// is healthy.
+	Self string
+	// Load tells the running and waiting requests and the slots of the target
+	// that answers, separated by commas.
+	Load string
 	// NotRun marks answers of targets that did not run the request.
 	NotRun string
 	// Signature is on every genuine answer of a target that ran the request.
--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -23,6 +23,9 @@
 
 	indirectProbes = 3
 	rumorFanOut    = 2
+	// hintFanOut is how many members hear at once of a new configuration: enough
+	// to reach all but one in a thousand when each passes it on.
+	hintFanOut = 4
 	// rumorBytesPerS and rumorBurst bound what rumors cost, so that the loss of
 	// a data centre stays near the budget of control bytes.
 	rumorBytesPerS = 800
@@ -369,6 +372,15 @@
 	return o
 }
 
+// hints returns rumors that only tell of the configuration.
+func (c *Core) hints() []Outgoing {
+	var o []Outgoing
+	for _, m := range c.pick(hintFanOut, "") {
+		o = append(o, Outgoing{Address: m.PeerAddress, Packet: c.packet(Rumor)})
+	}
+	return o
+}
+
 func (c *Core) packet(k Kind) Packet {
 	c.number++
 	p := Packet{
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -86,6 +86,15 @@
 	g.core.Hold(generation, digest)
 }
 
+// Hint tells a few members at once which configuration this node holds. Each
+// of them does the same once it holds it too.
+func (g *Gossiper) Hint() {
+	g.mu.Lock()
+	o := g.core.hints()
+	g.mu.Unlock()
+	g.send(o)
+}
+
 // Trusted returns since when the others have taken this node for a home of a
 // service's keys. A stall that has just ended counts before it was noticed.
 func (g *Gossiper) Trusted(service string) time.Time {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -36,6 +36,9 @@
 	Slots       int
 	Connections int
 	Draining    bool
+	// Probed says that the node asked the target itself, and does not know when
+	// its life began.
+	Probed bool
 	// Cold is how much longer the target is slow after its start.
 	Cold time.Duration
 }
@@ -117,13 +120,13 @@
 		return false
 	}
 	if a.Born != o.Born {
-		return a.Born < o.Born
+		return a.Born < o.Born && !a.Probed
 	}
 	return a.Instance != "" && a.Instance == o.Instance && a.Sequence <= o.Sequence
 }
 
 func (t *Target) sameLife(a Announcement) bool {
-	return t.Service == a.Service && t.Instance == a.Instance && t.Born == a.Born
+	return t.Service == a.Service && t.Instance == a.Instance && (t.Born == a.Born || t.Probed)
 }
 
 func (r *Registrar) add(a Announcement, l router.Limits, now time.Time) Outcome {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -32,7 +32,10 @@
 	electionPeriod = 250 * time.Millisecond
 	rankDelay      = time.Second
 	minBackoff     = 200 * time.Millisecond
-	maxBackoff     = 5 * time.Second
+	// bootstrapBackoff leaves peers a moment to bring the configuration, so that
+	// a herd that returns does not read the store all at once.
+	bootstrapBackoff = 100 * time.Millisecond
+	maxBackoff       = 5 * time.Second
 
 	// callsPerSecond and callBurst are a node's budget of store calls.
 	callsPerSecond = 10
@@ -81,6 +84,25 @@
 	group.Loop(ctx, r.compete)
 }
 
+// Bootstrap reads the configuration until there is one, whoever brings it. A
+// node that starts must not wait for relays: after a power cut there are none,
+// and their slots are taken until the leases of their earlier lives lapse.
+func (r *Relayer) Bootstrap(ctx context.Context) {
+	b := sleeper.Backoff{First: bootstrapBackoff, Max: maxBackoff}
+	for r.holder.Current() == nil && b.Sleep(ctx) {
+		if r.holder.Current() != nil {
+			return
+		}
+		v, err := r.store.Get(ctx, r.key())
+		if err == nil {
+			err = r.take(ctx, v)
+		}
+		if err != nil && !judge.Is(err, judge.NotFound) {
+			klog.V(1).InfoS("Reading the configuration failed", "key", r.key(), "cause", err)
+		}
+	}
+}
+
 // Connected reports whether the last watch of the store was answered.
 func (r *Relayer) Connected() bool {
 	return r.connected.Load()
@@ -146,7 +168,7 @@
 	if err != nil {
 		return false, err
 	}
-	k, ok := r.freeSlot(s.DataCenter, l)
+	k, revision, ok := r.freeSlot(s, l)
 	if !ok {
 		return false, nil
 	}
@@ -157,7 +179,7 @@
 	if err != nil {
 		return false, err
 	}
-	if _, err := r.store.Put(ctx, k, []byte(s.PeerAddress), 0, id); err != nil {
+	if _, err := r.store.Put(ctx, k, []byte(s.PeerAddress), revision, id); err != nil {
 		_ = r.store.Revoke(ctx, id)
 		return false, err
 	}
@@ -166,18 +188,23 @@
 	return true, nil
 }
 
-func (r *Relayer) freeSlot(dataCenter string, taken []storer.Item) (string, bool) {
+// freeSlot returns a slot that nobody has, or that an earlier life of this node
+// has left behind, and its revision.
+func (r *Relayer) freeSlot(self gossiper.Member, taken []storer.Item) (string, uint64, bool) {
 	m := make(map[string]bool)
 	for _, i := range taken {
+		if string(i.Value.Data) == self.PeerAddress {
+			return i.Key, i.Value.Revision, true
+		}
 		m[i.Key] = true
 	}
 	for i := range r.slots {
-		k := fmt.Sprintf("%s%s/%d", storer.RelayPrefix, dataCenter, i)
+		k := fmt.Sprintf("%s%s/%d", storer.RelayPrefix, self.DataCenter, i)
 		if !m[k] {
-			return k, true
+			return k, 0, true
 		}
 	}
-	return "", false
+	return "", 0, false
 }
 
 // list reads the relays of one data centre, or of all when it is empty, and
--- a/internal/router/profile.go
+++ b/internal/router/profile.go
@@ -35,6 +35,9 @@
 	KeyWindow time.Duration
 	// Fallback names the service that is used while this one has no target.
 	Fallback string
+	// HealthPath is where a target says which life of it runs and whether it
+	// takes requests; empty where it does not.
+	HealthPath string
 }
 
 // RetryPolicy bounds what a node spends on repeating failed calls.
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -213,6 +213,8 @@
 	n.puller.Start(n.stopping, &n.group)
 	n.group.Loop(n.stopping, n.expire)
 	n.group.Loop(n.stopping, n.join)
+	n.group.Loop(n.stopping, n.relayer.Bootstrap)
+	n.group.Loop(n.stopping, n.identify)
 }
 
 // join enters the mesh before the node competes for a relay's slot, so that it
--- a/internal/syncer/puller.go
+++ b/internal/syncer/puller.go
@@ -25,10 +25,10 @@
 	catchUpBound = 3 * time.Second
 	minBackoff   = 50 * time.Millisecond
 	maxBackoff   = 2 * time.Second
-	checkPeriod  = 100 * time.Millisecond
+	checkPeriod  = 50 * time.Millisecond
 	// hintGrace is how long a higher generation may be known of before it is
-	// fetched past the tree.
-	hintGrace = 400 * time.Millisecond
+	// fetched past the tree, which brings it within a few round trips.
+	hintGrace = 150 * time.Millisecond
 )
 
 var errBusy = errors.New("syncer: parent is busy")
@@ -271,6 +271,7 @@
 		}
 		g = c.Generation()
 		p.gossiper.Hold(g, c.StateDigest)
-		klog.Infof(logPrefix+"Applied generation %d, digest %s.", g, c.StateDigest.Short())
+		p.gossiper.Hint()
+		klog.InfoS("Configuration applied", "generation", g, "digest", c.StateDigest.Short())
 	}
 }
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -118,6 +118,9 @@
 		c.add(p.at("name"), s.Name, "a name that no other service has")
 	}
 	c.services[s.Name] = s.Fallback
+	if s.HealthPath != "" && !validPrefix(s.HealthPath) {
+		c.add(p.at("health_path"), s.HealthPath, prefixRule)
+	}
 }
 
 func (c checker) fallback(p place, s router.Service) {
