--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -182,6 +182,7 @@
 	j.target = p.Address
 	c := e.call(j, p)
 	c.immediate = immediate
+	c.impatient = c.repeatable && j.sends+1 < j.route.Attempts(j.service) && !e.pressure.high() && e.budget.Affords(j.service.Name, e.nodes())
 	end := e.balancer.Start(p, time.Now())
 	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
 	a, err := e.send(ctx, c, p)
@@ -306,7 +307,7 @@
 		return balancer.Shed
 	case judge.Is(err, errUnreachable) && ctx.Err() == nil:
 		return balancer.Unreachable
-	case ctx.Err() != nil, judge.Is(err, judge.TimedOut):
+	case ctx.Err() != nil, judge.Is(err, judge.TimedOut), judge.Is(err, errOverdue):
 		return balancer.Cancelled
 	case judge.Is(err, judge.Unavailable), judge.Is(err, judge.NotFound):
 		return balancer.Departed
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -80,6 +80,8 @@
 		v = judge.NotRun
 	}
 	switch {
+	case judge.Is(context.Cause(ctx), errOverdue):
+		return judge.Wrap(err, errOverdue, v, "%s: the answer is overdue", who)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return judge.Wrap(err, judge.TimedOut, v, "%s: no answer before the deadline", who)
 	case x != nil && x.Cause == exchanger.Unreachable:
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -74,6 +74,8 @@
 	errRejected = judge.Overloaded.NewSubtype("rejected")
 	// errSpoiled reports an answer that is not the target's whole answer.
 	errSpoiled = judge.Interrupted.NewSubtype("spoiled")
+	// errOverdue reports that a target took far longer than usual.
+	errOverdue = judge.Interrupted.NewSubtype("overdue")
 )
 
 // do hands c to its target and returns the whole answer, or the start of a
@@ -106,6 +108,8 @@
 		return gatekeeper.Answered
 	case err == nil:
 		return gatekeeper.Failed
+	case judge.Is(err, errOverdue):
+		return gatekeeper.Failed
 	case ctx.Err() != nil, judge.Of(err) == judge.NotRun:
 		return gatekeeper.Abandoned
 	}
@@ -119,6 +123,8 @@
 		return nil, quarantined()
 	}
 	n := t.Gate.Running()
+	ctx, stop := g.limitOverdue(ctx, c, t)
+	defer stop()
 	a, err := g.send(ctx, c, t)
 	if err == nil {
 		g.clear(c.service, c.fingerprint)
@@ -140,6 +146,18 @@
 	return nil, judge.Wrap(err, errCrashed, judge.MayHaveRun, "gate: target %s crashed", c.target)
 }
 
+// limitOverdue returns a context that ends when the answer to an impatient call
+// is overdue, if there is time left to try elsewhere.
+func (g *Gate) limitOverdue(ctx context.Context, c call, t registrar.Target) (context.Context, func()) {
+	d, ok := t.Gate.Overdue(c.class)
+	if !c.impatient || !ok || time.Until(c.deadline) < 2*d {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	k := time.AfterFunc(d, func() { cancel(errOverdue.New("no answer after %s", d)) })
+	return ctx, func() { k.Stop() }
+}
+
 // broken reports whether the target may have ended while it ran a call.
 func broken(err error) bool {
 	return judge.Is(err, judge.Interrupted) && !judge.Is(err, errSpoiled) && judge.Of(err) == judge.MayHaveRun
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -26,18 +26,20 @@
 
 // hop is what one node tells another about a call, in HopHeader.
 type hop struct {
-	purpose     purpose
-	service     string
-	target      string
-	profile     string
-	attempt     string
-	class       string
-	priority    int
-	objective   time.Duration
-	immediate   bool
-	nested      bool
-	repeatable  bool
-	repeat      bool
+	purpose    purpose
+	service    string
+	target     string
+	profile    string
+	attempt    string
+	class      string
+	priority   int
+	objective  time.Duration
+	immediate  bool
+	nested     bool
+	repeatable bool
+	repeat     bool
+	// impatient says that the request is made again when its answer is overdue.
+	impatient   bool
 	fingerprint quarantiner.Fingerprint
 }
 
@@ -55,6 +57,7 @@
 	nestedField      = "n"
 	repeatableField  = "m"
 	repeatField      = "g"
+	impatientField   = "b"
 	fingerprintField = "h"
 )
 
@@ -68,7 +71,7 @@
 			v.Set(n, s)
 		}
 	}
-	for n, b := range map[string]bool{immediateField: h.immediate, nestedField: h.nested, repeatableField: h.repeatable, repeatField: h.repeat} {
+	for n, b := range map[string]bool{immediateField: h.immediate, nestedField: h.nested, repeatableField: h.repeatable, repeatField: h.repeat, impatientField: h.impatient} {
 		if b {
 			v.Set(n, "1")
 		}
@@ -102,6 +105,7 @@
 		nested:      v.Has(nestedField),
 		repeatable:  v.Has(repeatableField),
 		repeat:      v.Has(repeatField),
+		impatient:   v.Has(impatientField),
 		fingerprint: parseFingerprint(v.Get(fingerprintField)),
 	}
 	h.priority, _ = strconv.Atoi(v.Get(priorityField))
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -24,6 +24,8 @@
 	Unreachable Reason = "unreachable"
 	// Rejected means that the target said that it did not run the request.
 	Rejected Reason = "rejected"
+	// Overdue means that the target took far longer than usual.
+	Overdue Reason = "overdue"
 	// Spoiled means that the answer is not the target's own.
 	Spoiled      Reason = "spoiled"
 	TooLarge     Reason = "too_large"
@@ -141,6 +143,7 @@
 	{KeyMismatch, errKeyMismatch},
 	{Rejected, errRejected},
 	{Spoiled, errSpoiled},
+	{Overdue, errOverdue},
 	{Unreachable, errUnreachable},
 	{Overloaded, judge.Overloaded},
 	{DeadlinePast, judge.TimedOut},
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -31,6 +31,12 @@
 	// is joined by a request which misses its objective: a longer one is full of
 	// requests that do not.
 	lateQueueShare = 3
+	// An answer is overdue after overdueDeviations mean deviations beyond the mean
+	// (as the retransmission timer of RFC 6298 reckons), but not before half of
+	// overdueFactor times the mean, nor before overdueCount durations are known.
+	overdueDeviations = 4
+	overdueFactor     = 3
+	overdueCount      = 20
 	// failureWeight is the weight of the newest outcome in the share of
 	// failures, about the last twenty.
 	failureWeight = 0.05
@@ -73,7 +79,7 @@
 	running  []*Pass
 	waiting  []*waiter
 	draining bool
-	classes  map[string]time.Duration
+	classes  map[string]*durations
 	overall  time.Duration
 	failures float64
 	idle     chan struct{}
@@ -246,11 +252,42 @@
 // estimate returns the average duration of a class, or of all.
 func (g *Gate) estimate(class string) time.Duration {
 	if d, ok := g.classes[class]; ok {
-		return d
+		return d.mean
 	}
 	return g.overall
 }
 
+// durations is what is known of how long the requests of a class take.
+type durations struct {
+	mean time.Duration
+	// deviation is the mean distance from the mean.
+	deviation time.Duration
+	count     int
+}
+
+func (d *durations) add(t time.Duration) {
+	if d.count == 0 {
+		d.mean = t
+		d.deviation = t / 2
+	}
+	d.count++
+	off := (t - d.mean).Abs()
+	d.mean += time.Duration(estimateWeight * float64(t-d.mean))
+	d.deviation += time.Duration(estimateWeight * float64(off-d.deviation))
+}
+
+// Overdue returns how long a request of a class may run until its answer is
+// not to be expected any more, or false while too few have ended.
+func (g *Gate) Overdue(class string) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d, ok := g.classes[class]
+	if !ok || d.count < overdueCount {
+		return 0, false
+	}
+	return max(d.mean+overdueDeviations*d.deviation, overdueFactor*d.mean/2), true
+}
+
 // slots returns how many requests may run at now; a cold target has fewer.
 func (g *Gate) slots(now time.Time) int {
 	a := now.Sub(g.opened)
@@ -327,9 +364,14 @@
 
 func (g *Gate) learn(class string, d time.Duration) {
 	if g.classes == nil {
-		g.classes = make(map[string]time.Duration)
+		g.classes = make(map[string]*durations)
 	}
-	g.classes[class] = average(g.classes[class], d)
+	c := g.classes[class]
+	if c == nil {
+		c = &durations{}
+		g.classes[class] = c
+	}
+	c.add(d)
 	g.overall = average(g.overall, d)
 }
 
@@ -428,13 +470,16 @@
 func (g *Gate) Load(class string) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{
+	l := Load{
 		Running:  len(g.running),
 		Waiting:  len(g.waiting),
 		Slots:    g.slots(time.Now()),
-		Duration: g.classes[class],
 		Failures: g.failures,
 	}
+	if d, ok := g.classes[class]; ok {
+		l.Duration = d.mean
+	}
+	return l
 }
 
 // Running returns the number of requests that hold a slot.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -138,7 +138,9 @@
 	}
 	opened := now
 	if a.Instance != "" {
-		opened = now.Add(a.Cold - gatekeeper.WarmUp)
+		// A target that tells how it fares is not eased in: when all start at
+		// once, half of their slots would stay empty. Its durations tell.
+		opened = time.Time{}
 	}
 	t := &Target{Announcement: a, Gate: gatekeeper.New(l, opened), Announced: now, Until: now.Add(r.ttl())}
 	r.targets[a.Address] = t
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -12,6 +12,8 @@
 	// maxCredit bounds the retries that may be saved up for a service.
 	maxCredit = 20.0
 	percent   = 100.0
+	// spare is the credit from which a retry is taken to be certain.
+	spare = 2.0
 	// ownPart is the part of the fleet's bounds that is spent here, so that
 	// restarted nodes and requests that ended elsewhere do not exceed them.
 	ownPart = 0.85
@@ -67,6 +69,14 @@
 	return true
 }
 
+// Affords reports whether a retry could be made now, with some to spare for
+// requests that are under way.
+func (b *Budget) Affords(service string, nodes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.credit(service, nodes) >= spare
+}
+
 // Spend notes a call that had to be made again for a request that runs again.
 // It may leave the service in debt.
 func (b *Budget) Spend(service string, nodes int) {
