--- a/internal/arbiter/arbiter.go
+++ b/internal/arbiter/arbiter.go
@@ -22,9 +22,15 @@
 	// leastSeen is how much must have been seen of a kind before others give
 	// way to it.
 	leastSeen = 4.0
-	// tolerance is the difference between the shares of refused requests that
-	// chance may make.
-	tolerance = 0.03
+	// significant is the share of refused requests above which a kind is taken
+	// to be short of targets, and others give way.
+	significant = 0.03
+	// advantage is how much less often a more urgent kind is to be refused.
+	advantage = 0.03
+	// gain is how fast a lag changes the part that is denied, with each request,
+	// and maxDenied leaves some to learn from.
+	gain      = 0.1
+	maxDenied = 0.95
 	// callRetention is how long a kind is taken to lead to a service after the
 	// last call.
 	callRetention = 10 * time.Second
@@ -42,9 +48,14 @@
 type record struct {
 	Kind
 
-	seen, refused float64
-	at            time.Time
-	calls         map[string]time.Time
+	// seen counts requests, and refused those that a service refused.
+	seen    float64
+	refused map[string]float64
+	at      time.Time
+	calls   map[string]time.Time
+	// denied is the part of the requests that is turned away, and carry what of
+	// it is still due.
+	denied, carry float64
 }
 
 // Arbiter remembers what became of the requests of each kind at one entry. Its
@@ -54,16 +65,21 @@
 	kinds map[string]*record
 }
 
-// Note takes in the end of a request, and whether it was refused for load.
-func (a *Arbiter) Note(k Kind, refused bool, now time.Time) {
+// Note takes in the end of a request, and the service that refused it for load,
+// empty when none did.
+func (a *Arbiter) Note(k Kind, refusedBy string, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.record(k)
 	r.fade(now)
 	r.seen++
-	if refused {
-		r.refused++
+	if refusedBy == "" {
+		return
+	}
+	if r.refused == nil {
+		r.refused = make(map[string]float64)
 	}
+	r.refused[refusedBy]++
 }
 
 // Learn notes the services that targets call when they run requests of a kind.
@@ -82,19 +98,43 @@
 	}
 }
 
-// Allow reports whether a request may be tried: no more urgent kind that needs
-// the same targets is refused more often.
-func (a *Arbiter) Allow(k Kind, now time.Time) bool {
+// Allow reports whether a request may be tried. While a more urgent kind is
+// refused too often by a service that this kind leads to, a growing part of
+// the requests is not; then it returns that service.
+func (a *Arbiter) Allow(k Kind, now time.Time) (contested string, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.record(k)
+	s, behind := a.contest(r, now)
+	r.denied = min(max(r.denied+gain*behind, 0), maxDenied)
+	// Denials are spread evenly: taking turns with all or nothing would leave
+	// targets idle in between.
+	r.carry += r.denied
+	if s == "" || r.carry < 1 {
+		r.carry = min(r.carry, 1)
+		return "", true
+	}
+	r.carry--
+	return s, false
+}
+
+// contest returns the service for which a more urgent kind is furthest behind r,
+// and how far. It is negative when none is.
+func (a *Arbiter) contest(r *record, now time.Time) (service string, behind float64) {
 	own := r.share(now)
+	behind = -advantage
 	for _, o := range a.kinds {
-		if o.Priority < k.Priority && o.share(now) > own+tolerance && r.meets(o, now) {
-			return false
+		h := o.share(now)
+		if o.Priority >= r.Priority || h <= significant {
+			continue
+		}
+		for s, n := range o.refused {
+			if d := h + advantage - own; n > o.seen*significant && r.leadsTo(s, now) && (service == "" || d > behind) {
+				service, behind = s, d
+			}
 		}
 	}
-	return true
+	return service, behind
 }
 
 func (a *Arbiter) record(k Kind) *record {
@@ -113,7 +153,9 @@
 func (r *record) fade(now time.Time) {
 	w := r.weight(now)
 	r.seen *= w
-	r.refused *= w
+	for s := range r.refused {
+		r.refused[s] *= w
+	}
 	r.at = now
 }
 
@@ -126,23 +168,11 @@
 	if r.seen*r.weight(now) < leastSeen {
 		return 0
 	}
-	return r.refused / r.seen
-}
-
-// meets reports whether requests of both kinds lead to a common service.
-func (r *record) meets(o *record, now time.Time) bool {
-	return slices.ContainsFunc(r.Services, func(s string) bool { return o.leadsTo(s, now) }) ||
-		slices.ContainsFunc(o.Services, func(s string) bool { return r.leadsTo(s, now) }) ||
-		r.callsMeet(o, now)
-}
-
-func (r *record) callsMeet(o *record, now time.Time) bool {
-	for s := range r.calls {
-		if r.leadsTo(s, now) && o.leadsTo(s, now) {
-			return true
-		}
+	sum := 0.0
+	for _, n := range r.refused {
+		sum += n
 	}
-	return false
+	return sum / r.seen
 }
 
 func (r *record) leadsTo(service string, now time.Time) bool {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -47,6 +47,7 @@
 	profile    atomic.Pointer[string]
 	service    atomic.Pointer[string]
 	pressure   pressure
+	patience   patience
 	arbiter    arbiter.Arbiter
 	// stopping closes callers' connections after each answer, refusing takes
 	// no more requests.
@@ -181,15 +182,21 @@
 // serve runs a request unless more urgent ones need its targets.
 func (e *Entry) serve(j *job) (*answer, error) {
 	k := j.kind()
-	if !j.nested && !e.arbiter.Allow(k, j.arrived) {
-		e.arbiter.Note(k, true, j.arrived)
-		return nil, judge.Error(judge.Overloaded, judge.NotRun, "more urgent requests than those of route %q are being refused", j.route.Name)
+	if !j.nested {
+		if s, ok := e.arbiter.Allow(k, j.arrived); !ok {
+			e.arbiter.Note(k, s, j.arrived)
+			return nil, judge.Error(judge.Overloaded, judge.NotRun, "service %q refuses requests that are more urgent than those of route %q", s, j.route.Name)
+		}
 	}
 	a, err := e.runKeyed(j)
 	refused := judge.Is(err, judge.Overloaded) && !judge.Is(err, errRejected)
 	e.pressure.note(refused)
-	if !j.nested {
-		e.arbiter.Note(k, refused, time.Now())
+	switch {
+	case j.nested:
+	case refused:
+		e.arbiter.Note(k, j.service.Name, time.Now())
+	default:
+		e.arbiter.Note(k, "", time.Now())
 	}
 	return a, err
 }
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -30,6 +30,8 @@
 	service  router.Service
 	body     *body
 	deadline time.Time
+	// elapsed is how long the caller is taken to have tried before.
+	elapsed time.Duration
 	// nested says that the target beside this node made the request on behalf
 	// of another one that it runs.
 	nested bool
@@ -132,6 +134,7 @@
 		d = j.route.Timeout
 	}
 	if l, ok := parseLeft(j.request.Header, e.dialect.Deadline); ok {
+		j.elapsed = e.patience.elapsed(j.route.Name, l)
 		d = min(d, l)
 	}
 	j.deadline = j.arrived.Add(min(d, maxCallDeadline))
@@ -213,7 +216,7 @@
 		kind:     j.kind(),
 	}
 	if j.route.Objective > 0 {
-		c.objective = max(j.route.Objective-time.Since(j.arrived), time.Millisecond)
+		c.objective = max(j.route.Objective-j.elapsed-time.Since(j.arrived), time.Millisecond)
 	}
 	if !c.repeatable {
 		c.attempt = j.id + "." + strconv.FormatUint(mathrand.Uint64(), 36)
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -34,8 +34,8 @@
 	// An answer is overdue after overdueDeviations mean deviations beyond the mean
 	// (as the retransmission timer of RFC 6298 reckons), but not before half of
 	// overdueFactor times the mean, nor before overdueCount durations are known.
-	overdueDeviations = 4
-	overdueFactor     = 3
+	overdueDeviations = 6
+	overdueFactor     = 5
 	overdueCount      = 20
 	// failureWeight is the weight of the newest outcome in the share of
 	// failures, about the last twenty.
