--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -27,12 +27,12 @@
 
 	// peerDialBound is what a call pays for a node that has vanished: some round
 	// trips between data centres, and far less than any request has.
-	peerDialBound = 300 * time.Millisecond
+	peerDialBound = 250 * time.Millisecond
 	// peerIdleBound is below idleBound, the time after which the other side
 	// closes.
 	peerIdleBound = idleBound / 2
-	// peerSilence is three signs of life of a gate, and some delay.
-	peerSilence = 500 * time.Millisecond
+	// peerSilence is two signs of life of a gate, and some delay.
+	peerSilence = 320 * time.Millisecond
 	maxPeerIdle = 64
 )
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -163,7 +163,7 @@
 		Tried:      tried,
 	}
 	for range len(j.profile.Services) {
-		l := v.Service(j.service.Name)
+		l := e.outages.without(v.Service(j.service.Name))
 		if p, ok = e.balancer.Pick(l, q, time.Now()); ok {
 			return p, len(l) > len(tried)+1, true
 		}
@@ -237,6 +237,7 @@
 	c.header.Set(e.dialect.Deadline, formatLeft(c.deadline, time.Now()))
 	r, err := e.peers.Do(ctx, p.PeerAddress, c.exchange(e.dialect.Request))
 	if err != nil {
+		e.noteOutage(p, err)
 		return nil, classify(ctx, err, "node "+p.Node)
 	}
 	t, ok := parseReport(r.Header.Get(HopHeader))
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -48,6 +48,7 @@
 	service    atomic.Pointer[string]
 	pressure   pressure
 	patience   patience
+	outages    outages
 	arbiter    arbiter.Arbiter
 	// stopping closes callers' connections after each answer, refusing takes
 	// no more requests.
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -33,8 +33,9 @@
 	// targetSends bounds how often a gate hands one call to its target.
 	targetSends = 2
 	// signOfLifePeriod is how often a gate tells the entry that it still waits
-	// for the target.
-	signOfLifePeriod = 150 * time.Millisecond
+	// for the target: about the duration of an ordinary request, so that most
+	// need none.
+	signOfLifePeriod = 120 * time.Millisecond
 )
 
 // Gate hands calls to the targets beside this node.
@@ -283,9 +284,13 @@
 		refuseToNode(w, judge.Error(judge.Invalid, judge.NotRun, "gate: unreadable %s", HopHeader), gatekeeper.Load{})
 		return
 	}
-	if c.purpose == toSettle {
+	switch c.purpose {
+	case toSettle:
 		g.serveSettle(w, c)
 		return
+	case toCheck:
+		return
+	default:
 	}
 	p := newPulse(w)
 	a, err := g.do(r.Context(), c)
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -22,6 +22,8 @@
 	toHome purpose = "home"
 	// toSettle asks whether an attempt may have run, and forbids it if not.
 	toSettle purpose = "settle"
+	// toCheck asks whether the node answers.
+	toCheck purpose = "check"
 )
 
 // hop is what one node tells another about a call, in HopHeader.
@@ -110,7 +112,7 @@
 	}
 	h.priority, _ = strconv.Atoi(v.Get(priorityField))
 	switch h.purpose {
-	case toGate, toHome, toSettle:
+	case toGate, toHome, toSettle, toCheck:
 		return h, true
 	}
 	return hop{}, false
--- /dev/null
+++ b/internal/forwarder/outage.go
@@ -0,0 +1,134 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
+)
+
+const (
+	// outageCheckPeriod is how often a node that did not answer is asked again,
+	// and outageCheckBound how long it may take: a new connection and a round
+	// trip between data centres, with some to spare.
+	outageCheckPeriod = 250 * time.Millisecond
+	outageCheckBound  = 300 * time.Millisecond
+	// outageRetention is how long a node is asked. By then the membership has
+	// buried it or not.
+	outageRetention = 30 * time.Second
+)
+
+// outages holds the nodes that could not be reached from here. Calls avoid
+// them, and a question of the entry's own finds out when they are back, so that
+// a node which vanished costs one wait and not one for each call. Its zero value
+// is empty.
+type outages struct {
+	mu    sync.Mutex
+	since map[string]time.Time
+}
+
+func (o *outages) add(address string, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.since[address]; ok {
+		return false
+	}
+	if o.since == nil {
+		o.since = make(map[string]time.Time)
+	}
+	o.since[address] = now
+	return true
+}
+
+func (o *outages) remove(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.since, address)
+}
+
+// list returns the nodes to ask, and forgets those that were asked for long.
+func (o *outages) list(now time.Time) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var l []string
+	for a, t := range o.since {
+		if now.Sub(t) > outageRetention {
+			delete(o.since, a)
+			continue
+		}
+		l = append(l, a)
+	}
+	return l
+}
+
+// without returns the endpoints whose nodes can be reached, or all of them
+// when none can.
+func (o *outages) without(l []gossiper.Endpoint) []gossiper.Endpoint {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.since) == 0 {
+		return l
+	}
+	r := make([]gossiper.Endpoint, 0, len(l))
+	for _, e := range l {
+		if _, ok := o.since[e.PeerAddress]; !ok {
+			r = append(r, e)
+		}
+	}
+	if len(r) == 0 {
+		return l
+	}
+	return r
+}
+
+// noteOutage remembers a node that did not answer at all.
+func (e *Entry) noteOutage(p gossiper.Endpoint, err error) {
+	var x *exchanger.Error
+	if !errors.As(err, &x) || (x.Cause != exchanger.Unreachable && x.Cause != exchanger.Silent) {
+		return
+	}
+	if e.outages.add(p.PeerAddress, time.Now()) {
+		e.peers.Forget(p.PeerAddress)
+		klog.InfoS("Node can not be reached", "peer", p.Node, "address", p.PeerAddress, "cause", err)
+	}
+}
+
+// Watch asks the nodes that could not be reached until ctx is done.
+func (e *Entry) Watch(ctx context.Context) {
+	var g grouper.Group
+	defer g.Wait()
+	for sleeper.Sleep(ctx, outageCheckPeriod) {
+		for _, a := range e.outages.list(time.Now()) {
+			g.Go(func() { e.checkOutage(ctx, a) })
+		}
+	}
+}
+
+func (e *Entry) checkOutage(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, outageCheckBound)
+	defer cancel()
+	q := call{
+		hop:    hop{purpose: toCheck, repeatable: true},
+		method: http.MethodGet,
+		uri:    "/",
+		host:   address,
+		header: http.Header{},
+	}
+	q.header.Set(HopHeader, q.format())
+	r, err := e.peers.Do(ctx, address, q.exchange(""))
+	if err != nil {
+		return
+	}
+	_, _ = hold(r, q.method)
+	_ = r.Body.Close()
+	e.outages.remove(address)
+	klog.InfoS("Node can be reached again", "address", address)
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -215,6 +215,7 @@
 	n.group.Loop(n.stopping, n.join)
 	n.group.Loop(n.stopping, n.relayer.Bootstrap)
 	n.group.Loop(n.stopping, n.identify)
+	n.group.Loop(n.stopping, n.entry.Watch)
 }
 
 // join enters the mesh before the node competes for a relay's slot, so that it
