--- /dev/null
+++ b/internal/forwarder/parts_test.go
@@ -0,0 +1,153 @@
+package forwarder
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+)
+
+func TestLedgerNeverRunsWhatItHasSettled(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(l *ledger, now time.Time) judge.Verdict
+		want judge.Verdict
+		runs bool
+	}{
+		{"asked before it was handed over", func(l *ledger, now time.Time) judge.Verdict { return l.settle("a", now) }, judge.NotRun, false},
+		{"asked after it was handed over", func(l *ledger, now time.Time) judge.Verdict {
+			l.send("a", now)
+			return l.settle("a", now)
+		}, judge.MayHaveRun, true},
+		{"asked about another one", func(l *ledger, now time.Time) judge.Verdict { return l.settle("b", now) }, judge.NotRun, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var l ledger
+			now := time.Unix(1_800_000_000, 0)
+			if v := c.do(&l, now); v != c.want {
+				t.Errorf("got %s, want %s", v, c.want)
+			}
+			if r := l.send("a", now); r != c.runs {
+				t.Errorf("may be handed over: %v, want %v", r, c.runs)
+			}
+		})
+	}
+}
+
+func TestHopKeepsWhatItCarries(t *testing.T) {
+	tests := []hop{
+		{purpose: toGate, service: "s", target: "10.0.0.1:80", class: "r", priority: 2, objective: 400 * time.Millisecond, immediate: true, repeatable: true, fingerprint: 7},
+		{purpose: toHome, service: "s", profile: "p", nested: true, repeat: true, impatient: true},
+		{purpose: toSettle, attempt: "x.1"},
+		{purpose: toCheck},
+	}
+	for _, c := range tests {
+		if g, ok := parseHop(c.format()); !ok || g != c {
+			t.Errorf("got %+v, want %+v", g, c)
+		}
+	}
+	for _, s := range []string{"", "p=other", "%zz", "t=10.0.0.1:80"} {
+		if _, ok := parseHop(s); ok {
+			t.Errorf("%q was taken for a hop", s)
+		}
+	}
+}
+
+func TestReportKeepsWhatItCarries(t *testing.T) {
+	r := report{
+		refused: true, verdict: judge.NotRun, reason: Overloaded, wait: 30 * time.Millisecond,
+		load:    gatekeeper.Load{Running: 3, Waiting: 2, Slots: 12, Duration: 120 * time.Millisecond, Failures: 0.25},
+		callees: []string{"ledger"},
+	}
+	g, ok := parseReport(r.format())
+	if !ok || g.refused != r.refused || g.verdict != r.verdict || g.reason != r.reason || g.wait != r.wait || g.load != r.load || len(g.callees) != 1 {
+		t.Errorf("got %+v, want %+v", g, r)
+	}
+	if _, ok := parseReport(""); ok {
+		t.Error("nothing was taken for a report")
+	}
+}
+
+func TestWorkloadRecognizesCallsOfTargets(t *testing.T) {
+	var w workload
+	now := time.Unix(1_800_000_000, 0)
+	end := w.begin("p", "booking", true)
+	if n, r := w.extends("p.1", "files", now); !n || !r {
+		t.Error("a call of the running request is not recognized")
+	}
+	for _, id := range []string{"p", "q.1", ".1", "pp.1"} {
+		if n, _ := w.extends(id, "files", now); n {
+			t.Errorf("%q is taken for a call of the running request", id)
+		}
+	}
+	if l := w.callees("booking", now); len(l) != 1 || l[0] != "files" {
+		t.Errorf("callees %v", l)
+	}
+	if l := w.callees("booking", now.Add(calleeRetention+time.Second)); len(l) != 0 {
+		t.Errorf("callees are not forgotten: %v", l)
+	}
+	end()
+	if n, _ := w.extends("p.2", "files", now); n {
+		t.Error("a call of an ended request is recognized")
+	}
+}
+
+func TestPatienceSeesReturningCallers(t *testing.T) {
+	var p patience
+	for range 20 {
+		if e := p.elapsed("r", time.Second); e != 0 {
+			t.Fatalf("a fresh caller has tried for %s", e)
+		}
+	}
+	if e := p.elapsed("r", 700*time.Millisecond); e < 250*time.Millisecond || e > 300*time.Millisecond {
+		t.Errorf("got %s", e)
+	}
+	if e := p.elapsed("other", 700*time.Millisecond); e != 0 {
+		t.Errorf("routes are mixed up: %s", e)
+	}
+}
+
+func TestOutagesAreAvoided(t *testing.T) {
+	var o outages
+	now := time.Unix(1_800_000_000, 0)
+	l := []gossiper.Endpoint{{PeerAddress: "a"}, {PeerAddress: "b"}}
+	if !o.add("a", now) || o.add("a", now) {
+		t.Error("an outage is new once")
+	}
+	if g := o.without(l); len(g) != 1 || g[0].PeerAddress != "b" {
+		t.Errorf("got %v", g)
+	}
+	o.add("b", now)
+	if g := o.without(l); len(g) != 2 {
+		t.Errorf("with all of them out, all are tried: %v", g)
+	}
+	o.remove("a")
+	if g := o.without(l); len(g) != 1 || g[0].PeerAddress != "a" {
+		t.Errorf("got %v", g)
+	}
+	if g := o.list(now.Add(outageRetention + time.Second)); len(g) != 0 || len(o.without(l)) != 2 {
+		t.Errorf("%v is not forgotten", g)
+	}
+}
+
+func TestPressureFollowsRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p pressure
+		for range 100 {
+			p.note(false)
+		}
+		if p.high() {
+			t.Error("high without refusals")
+		}
+		for range 5 {
+			p.note(true)
+		}
+		if !p.high() {
+			t.Error("not high after refusals in a row")
+		}
+	})
+}
--- /dev/null
+++ b/internal/router/spreader_test.go
@@ -0,0 +1,34 @@
+package router
+
+import "testing"
+
+// TestSharesKeepToWeights replays a short calm time on thirteen nodes: after
+// 200 requests no share is off by 0.1, and a change of weights is followed.
+func TestSharesKeepToWeights(t *testing.T) {
+	const nodes, requests = 13, 200
+	for _, w := range []int{90, 10, 50} {
+		var l [nodes]Spreader
+		r := Route{Name: "r", Destinations: []Destination{{"a", w}, {"b", 100 - w}, {"none", 0}}}
+		n := make(map[string]int)
+		for i := range requests {
+			d, ok := l[i%nodes].Choose(r)
+			if !ok {
+				t.Fatal("nothing chosen")
+			}
+			n[d.Service]++
+		}
+		if got := float64(n["a"]) / requests; got < float64(w)/100-0.1 || got > float64(w)/100+0.1 || n["none"] > 0 {
+			t.Errorf("weight %d: %v", w, n)
+		}
+	}
+	var s Spreader
+	if _, ok := s.Choose(Route{Name: "r", Destinations: []Destination{{"a", 0}, {"b", 0}}}); ok {
+		t.Error("a destination without weight was chosen")
+	}
+	one := Route{Name: "r", Destinations: []Destination{{"a", 1}, {"b", 0}}}
+	for range 10 {
+		if d, _ := s.Choose(one); d.Service != "a" {
+			t.Errorf("chose %s", d.Service)
+		}
+	}
+}
