--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -82,7 +82,10 @@
 		// and repeating it adds to that.
 		return false
 	}
-	return a.Allowed(j.route.Attempts(j.service)) && e.budget.Withdraw(j.service, e.nodes())
+	if !a.Allowed(j.route.Attempts(j.service)) {
+		return false
+	}
+	return judge.Is(err, errOverdue) || e.budget.Withdraw(j.service, e.nodes())
 }
 
 // notTaken reports that no gate handed the request to its target, so that
@@ -182,11 +185,16 @@
 	j.target = p.Address
 	c := e.call(j, p)
 	c.immediate = immediate
-	c.impatient = c.repeatable && j.sends+1 < j.route.Attempts(j.service) && !e.pressure.high() && e.budget.Affords(j.service.Name, e.nodes())
+	// A target is only given up on when the next attempt is certain.
+	c.impatient = c.repeatable && j.body.replayable() && j.sends+1 < j.route.Attempts(j.service) &&
+		!e.stopping.Load() && !e.pressure.high() && e.budget.Reserve(j.service.Name, e.nodes())
 	end := e.balancer.Start(p, time.Now())
 	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
 	a, err := e.send(ctx, c, p)
 	end(outcomeOf(ctx, a, err), time.Now())
+	if c.impatient && !judge.Is(err, errOverdue) {
+		e.budget.Refund(p.Service, e.nodes())
+	}
 	if err != nil {
 		cancel()
 		e.note(j, p, err)
--- a/internal/forwarder/call_test.go
+++ b/internal/forwarder/call_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
@@ -193,3 +195,50 @@
 		})
 	}
 }
+
+// TestOverdueCallsAreGivenUpOnlyWhenAskedTo hangs after some quick answers.
+func TestOverdueCallsAreGivenUpOnlyWhenAskedTo(t *testing.T) {
+	tests := []struct {
+		name      string
+		impatient bool
+		want      *errorx.Type
+	}{
+		{"patient", false, judge.TimedOut},
+		{"impatient", true, errOverdue},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var n atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if n.Add(1) <= 30 {
+					time.Sleep(2 * time.Millisecond)
+					return
+				}
+				select {
+				case <-r.Context().Done():
+				case <-time.After(5 * time.Second):
+				}
+				w.WriteHeader(http.StatusOK)
+			}))
+			defer s.Close()
+			a := s.Listener.Addr().String()
+			g := newGate(t, a)
+			for range 30 {
+				if _, err := g.do(t.Context(), newCall(a, http.MethodGet, "", false)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			k := newCall(a, http.MethodGet, "", false)
+			k.impatient = c.impatient
+			k.deadline = time.Now().Add(700 * time.Millisecond)
+			begun := time.Now()
+			_, err := g.do(t.Context(), k)
+			if !judge.Is(err, c.want) || judge.Of(err) != judge.MayHaveRun {
+				t.Errorf("got %v", err)
+			}
+			if early := time.Since(begun) < 600*time.Millisecond; early != c.impatient {
+				t.Errorf("ended after %s", time.Since(begun))
+			}
+		})
+	}
+}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -12,7 +12,7 @@
 	// maxCredit bounds the retries that may be saved up for a service.
 	maxCredit = 20.0
 	percent   = 100.0
-	// spare is the credit from which a retry is taken to be certain.
+	// spare is the credit from which a retry may be reserved.
 	spare = 2.0
 	// ownPart is the part of the fleet's bounds that is spent here, so that
 	// restarted nodes and requests that ended elsewhere do not exceed them.
@@ -69,12 +69,23 @@
 	return true
 }
 
-// Affords reports whether a retry could be made now, with some to spare for
-// requests that are under way.
-func (b *Budget) Affords(service string, nodes int) bool {
+// Reserve spends a retry ahead, if that leaves some for other requests.
+func (b *Budget) Reserve(service string, nodes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.credit(service, nodes) >= spare
+	c := b.credit(service, nodes)
+	if c < spare {
+		return false
+	}
+	b.credits[service] = c - 1
+	return true
+}
+
+// Refund takes back a retry that was reserved and is not needed.
+func (b *Budget) Refund(service string, nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.credits[service] = min(b.limit(nodes), b.credit(service, nodes)+1)
 }
 
 // Spend notes a call that had to be made again for a request that runs again.
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -49,3 +49,25 @@
 		t.Error("a service without a budget was retried")
 	}
 }
+
+func TestReservedRetriesAreSpentOrTakenBack(t *testing.T) {
+	b := Budget{Percent: 20, Slack: 40}
+	s := router.Service{Name: "fihris", Retry: router.RetryPolicy{BudgetPercent: 20}}
+	const nodes = 10
+	n := 0
+	for b.Reserve(s.Name, nodes) {
+		n++
+	}
+	if n == 0 || float64(n) > 40*ownPart/nodes {
+		t.Fatalf("%d reserved", n)
+	}
+	if b.Reserve(s.Name, nodes) {
+		t.Error("nothing is left for other requests")
+	}
+	for range 2 * n {
+		b.Refund(s.Name, nodes)
+	}
+	if c := b.credit(s.Name, nodes); c > b.limit(nodes) {
+		t.Errorf("refunds made %g of %g", c, b.limit(nodes))
+	}
+}
