--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
+	"github.com/dragonflydoor/dragonflydoor/platform"
 )
 
 const operationIDBytes = 12
@@ -31,7 +32,7 @@
 }
 
 func (o storeOptions) publisher() *publisher.Publisher {
-	return publisher.New(newStore(o.Store, &meter.Traffic{}), o.Operator)
+	return publisher.New(newStore(o.Store, &meter.Traffic{}), o.Operator).WithDocument(platform.DocumentKey)
 }
 
 // outputOptions choose between text for people and JSON for scripts.
--- a/internal/imitator/target.go
+++ b/internal/imitator/target.go
@@ -35,6 +35,10 @@
 	Node string
 	// Profile is announced too, when it is set.
 	Profile string
+	// Instance names this life of the target. When it is set, the target speaks
+	// as the platform's targets do, and has Slots.
+	Instance string
+	Slots    int
 	// Exit ends the process; tests replace it.
 	Exit func()
 	// Journal receives a line for each run, before anything else happens.
@@ -45,6 +49,8 @@
 	running  int
 	peak     int
 	silenced bool
+
+	platformState
 }
 
 type echoJSON struct {
@@ -55,6 +61,7 @@
 	Query    string `json:"query,omitempty"`
 	Body     string `json:"body,omitempty"`
 	Deadline string `json:"deadline_ms,omitempty"`
+	Caller   string `json:"caller,omitempty"`
 }
 
 type runsJSON struct {
@@ -76,12 +83,21 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /standin/runs", t.serveRuns)
 	m.HandleFunc("POST /standin/silence", func(http.ResponseWriter, *http.Request) { t.silence() })
+	m.HandleFunc("POST /standin/drain", t.setDraining)
+	m.HandleFunc("POST /standin/leave", func(_ http.ResponseWriter, r *http.Request) {
+		t.silence()
+		t.leave(r.Context())
+	})
+	m.HandleFunc("GET /health", t.serveHealth)
 	m.HandleFunc("/", t.serve)
 	return m
 }
 
 // Announce repeats the target's announcement until ctx is done.
 func (t *Target) Announce(ctx context.Context) {
+	t.mu.Lock()
+	t.born = time.Now()
+	t.mu.Unlock()
 	k := time.NewTicker(announcePeriod)
 	defer k.Stop()
 	for {
@@ -97,6 +113,10 @@
 }
 
 func (t *Target) announceOnce(ctx context.Context) {
+	if t.Instance != "" {
+		t.heartbeat(ctx)
+		return
+	}
 	b, _ := json.Marshal(announcementJSON{Service: t.Service, Address: t.Address, Profile: t.Profile})
 	q, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+t.Node+"/v1/targets", bytes.NewReader(b))
 	if err != nil {
@@ -131,6 +151,9 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	if t.Instance != "" && !t.sign(w, r) {
+		return
+	}
 	t.begin(r.Header.Get(RunHeader))
 	defer t.end()
 	b, err := io.ReadAll(r.Body)
@@ -160,6 +183,7 @@
 		Query:    r.URL.RawQuery,
 		Body:     string(b),
 		Deadline: r.Header.Get("Dragonflydoor-Deadline-Ms"),
+		Caller:   r.Header.Get(callerHeader),
 	})
 }
 
--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -25,6 +25,9 @@
 // change swaps the head record. An error with judge.MayHaveRun means that the
 // outcome could not be found out.
 func (p *Publisher) change(ctx context.Context, o accepter.Operation) (accepter.Operation, error) {
+	if err := p.guard(ctx); err != nil {
+		return accepter.Operation{}, err
+	}
 	a := &attempt{operation: o}
 	var r accepter.Operation
 	err := p.repeat(ctx, func() error {
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -24,6 +24,8 @@
 type Publisher struct {
 	store    storer.Store
 	operator string
+	// document is the key under which somebody else may keep the configuration.
+	document string
 }
 
 // New returns a publisher that acts in the name of operator.
@@ -31,9 +33,35 @@
 	return &Publisher{store: s, operator: operator}
 }
 
+// WithDocument returns a publisher that refuses all changes while the store
+// holds a configuration of another maker under key.
+func (p *Publisher) WithDocument(key string) *Publisher {
+	n := *p
+	n.document = key
+	return &n
+}
+
+// guard refuses a change where another maker rules.
+func (p *Publisher) guard(ctx context.Context) error {
+	if p.document == "" {
+		return nil
+	}
+	_, err := p.store.Get(ctx, p.document)
+	if judge.Is(err, judge.NotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return judge.Error(judge.Conflict, judge.NotRun, "the operator's document %q is in force, and profiles are changed there", p.document)
+}
+
 // Publish stores p as a new version without putting it in force. Publishing
 // the newest version again returns that version.
 func (p *Publisher) Publish(ctx context.Context, f router.Profile, id string) (accepter.Version, error) {
+	if err := p.guard(ctx); err != nil {
+		return accepter.Version{}, err
+	}
 	n := encoder.Seal(f)
 	d := n.Digest
 	if err := p.putOnce(ctx, storer.BodyKey(f.Name, d.String()), encoder.EncodeProfile(f)); err != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -25,9 +25,12 @@
 const (
 	logPrefix = "relayer: "
 
-	leaseTTL       = 6 * time.Second
-	renewPeriod    = leaseTTL / 3
-	watchWait      = 2 * time.Second
+	leaseTTL    = 6 * time.Second
+	renewPeriod = leaseTTL / 3
+	// watchWait bounds how long a connection to the store that went silent stays
+	// unnoticed: it and the bound of a call must fit in the time within which a
+	// configuration is to be in force.
+	watchWait      = 3 * time.Second
 	listPeriod     = 10 * time.Second
 	electionPeriod = 250 * time.Millisecond
 	rankDelay      = time.Second
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -39,6 +39,9 @@
 	Service string `arg:"--service,required"`
 	Node    string `arg:"--node,required" help:"local address of the node"`
 	Profile string `arg:"--profile"`
+
+	Instance string `arg:"--instance" help:"speak as the platform's targets do, under this id"`
+	Slots    int    `arg:"--slots" default:"12"`
 }
 
 // Main runs the command line and returns the exit code.
@@ -98,8 +101,11 @@
 		Address: c.Address,
 		Node:    c.Node,
 		Profile: c.Profile,
-		Exit:    func() { os.Exit(1) },
-		Journal: os.Stdout,
+
+		Instance: c.Instance,
+		Slots:    c.Slots,
+		Exit:     func() { os.Exit(1) },
+		Journal:  os.Stdout,
 	}
 	l, err := net.Listen("tcp", c.Address)
 	if err != nil {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -18,6 +18,11 @@
 var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"store":      storeCommand,
 	"node":       nodeCommand,
+	"sidecar":    sidecarCommand,
+	"server":     serverCommand,
+	"operator":   operatorCommand,
+	"ready":      readyCommand,
+	"leave":      leaveCommand,
 	"target":     targetCommand,
 	"signal":     signalCommand,
 	"exited":     exitedCommand,
--- a/scenarios/observers_test.go
+++ b/scenarios/observers_test.go
@@ -29,6 +29,7 @@
 var signals = map[string]syscall.Signal{
 	"KILL": syscall.SIGKILL,
 	"TERM": syscall.SIGTERM,
+	"HUP":  syscall.SIGHUP,
 	"STOP": syscall.SIGSTOP,
 	"CONT": syscall.SIGCONT,
 }
--- /dev/null
+++ b/scenarios/platform_test.go
@@ -0,0 +1,84 @@
+package scenarios
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// sidecarCommand starts a node on the platform's interface, on a loopback
+// address of its own: sidecar NAME ZONE SERVICE SERVER. It writes the settings
+// anew when the node runs already, and leaves it to the node to notice.
+func sidecarCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	n := args[0]
+	if m.hosts == nil {
+		m.hosts = make(map[string]string)
+	}
+	if m.hosts[n] == "" {
+		m.hosts[n] = fmt.Sprintf("127.0.7.%d", len(m.hosts)+1)
+	}
+	_, port, _ := net.SplitHostPort(m.address("sidecars"))
+	first, _ := strconv.Atoi(port)
+	s := fmt.Sprintf(`{"node": %q, "zone": %q, "ip": %q, "service": %q, "app-addr": %q, "port-range": [%d, %d], "unknown": true,
+		"listen": {"outbound": %q, "ready": %q, "control": %q}, "heartbeat-interval": "1s",
+		"bounds": {"grace": "6s", "retry-budget-ratio": 0.2, "budget-slack": 60, "budget-window": "10s"},
+		"provider": {"address": %q, "form": "kv"}}`,
+		n, args[1], m.hosts[n], args[2], m.address(args[3]), first, first+1,
+		m.address(n+".caller"), m.address(n+".ready"), m.address(n+".local"), m.address("store"))
+	f := filepath.Join(m.dir, n+".json")
+	check(ts, os.WriteFile(f, []byte(s), 0o600))
+	if p := m.processes[n]; p != nil && p.alive() {
+		return
+	}
+	check(ts, m.start(n, "dragonflydoor", "sidecar", "--settings", f))
+	check(ts, eventually(stepBound, func() error {
+		_, err := m.dump(n)
+		return err
+	}))
+}
+
+// serverCommand starts a target that speaks as the platform's do: server NAME
+// NODE SERVICE INSTANCE.
+func serverCommand(ts *testscript.TestScript, _ bool, args []string) {
+	m := meshOf(ts)
+	a := m.address(args[0])
+	check(ts, m.start(args[0], "standin", "target", "--address", a, "--service", args[2], "--node", m.address(args[1]+".local"), "--instance", args[3]))
+	check(ts, eventually(stepBound, func() error {
+		_, err := get("http://" + a + "/standin/runs")
+		return err
+	}))
+	check(ts, eventually(stepBound, func() error { return m.allKnow(args[2] + "@" + a) }))
+}
+
+// operatorCommand writes the operator's document: operator FILE.
+func operatorCommand(ts *testscript.TestScript, _ bool, args []string) {
+	check(ts, send(http.MethodPut, "http://"+meshOf(ts).address("store")+"/operator/op/config", ts.ReadFile(args[0])))
+}
+
+// readyCommand waits until a node says whether callers may come: ready NAME
+// STATUS.
+func readyCommand(ts *testscript.TestScript, _ bool, args []string) {
+	u := "http://" + meshOf(ts).address(args[0]+".ready") + "/v1/ready"
+	check(ts, eventually(stepBound, func() error {
+		r, err := client.Get(u)
+		if err != nil {
+			return err
+		}
+		_ = r.Body.Close()
+		if s := strconv.Itoa(r.StatusCode); s != args[1] {
+			return fmt.Errorf("ready: got %s, want %s", s, args[1])
+		}
+		return nil
+	}))
+}
+
+// leaveCommand makes a server drain or leave: leave drain|leave NAME.
+func leaveCommand(ts *testscript.TestScript, _ bool, args []string) {
+	check(ts, send(http.MethodPost, "http://"+meshOf(ts).address(args[1])+"/standin/"+args[0], ""))
+}
