--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 test: format vet lint unit scenarios
 
 format:
-	@files=$$(gofmt -l main.go cmd internal scenarios); \
+	@files=$$(gofmt -l main.go cmd internal platform scenarios); \
 	if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
 
 vet:
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -263,10 +263,12 @@
 		}
 	})
 	n.entry.Stop()
-	n.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithStatus(gossiper.Draining) })
-	n.gossiper.Farewell()
+	// The target beside the node stays in use until nobody sends new requests
+	// here: its slots are missed elsewhere.
 	sleeper.Sleep(ctx, l.Linger)
 	n.entry.Refuse()
+	n.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithStatus(gossiper.Draining) })
+	n.gossiper.Farewell()
 	n.registrar.DrainAll()
 	if l.Linger == 0 {
 		sleeper.Sleep(ctx, drainGrace)
