--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -84,6 +84,9 @@
 	// taken after it has begun.
 	StopBound time.Duration
 	Linger    time.Duration
+	// LinkMbps is the rate of the VM's link, in megabits a second; zero when it
+	// is not known.
+	LinkMbps float64
 	// AnnouncementTTL is how long a target's announcement holds.
 	AnnouncementTTL time.Duration
 	// RetryPercent and RetrySlack bound the retries that all nodes together make
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
@@ -24,6 +25,9 @@
 	// settleBound is how long a lost attempt may take to be settled: a few
 	// round trips, and a new connection.
 	settleBound = 400 * time.Millisecond
+	// owedPause is a part of the duration of an ordinary request, after which
+	// some target has a free slot again.
+	owedPause = 30 * time.Millisecond
 	// wayBack is what the last hop of an answer takes, so that a gate's refusal
 	// arrives before the entry gives up.
 	wayBack = 5 * time.Millisecond
@@ -38,6 +42,9 @@
 	var failure *answer
 	for {
 		a, err := e.place(j)
+		if j.owed && notTaken(err) && e.pause(j) {
+			continue
+		}
 		if err == nil && (a.status < http.StatusInternalServerError || !j.repeatable()) {
 			return a, nil
 		}
@@ -48,6 +55,7 @@
 		if !e.again(j, err) {
 			break
 		}
+		j.owed = j.owed || judge.Is(err, errOverdue)
 		e.stats.Retries.Add(1)
 	}
 	if failure != nil {
@@ -56,6 +64,14 @@
 	return nil, j.verdict(j.failure)
 }
 
+// pause waits a moment before a request whose target was given up is offered
+// again, and reports whether there is time for it. Such a request is not
+// refused: it would have been answered, late.
+func (e *Entry) pause(j *job) bool {
+	clear(j.refused)
+	return time.Until(j.deadline) > 2*owedPause && sleeper.Sleep(j.ctx, owedPause)
+}
+
 // again decides whether a request that failed with err, or was answered with a
 // failure when err is nil, is sent to another target.
 func (e *Entry) again(j *job, err error) bool {
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -46,6 +46,7 @@
 	dialect   Dialect
 	ledger    ledger
 	working   workload
+	uplink    uplink
 }
 
 // NewGate returns the gate of the targets in r, which reports crashes to w.
@@ -59,6 +60,12 @@
 	return &Gate{registrar: r, warden: w, dialect: d, client: exchanger.New(o, t)}
 }
 
+// LimitUplink bounds what is promised to other nodes by the rate of the link
+// that carries it.
+func (g *Gate) LimitUplink(bytesPerSecond float64) {
+	g.uplink.bytesPerSecond = bytesPerSecond
+}
+
 // Sweep closes connections that have been idle for too long.
 func (g *Gate) Sweep(now time.Time) {
 	g.client.Sweep(now)
@@ -292,14 +299,21 @@
 		return
 	default:
 	}
+	sent, err := g.uplink.reserve(c.class)
+	if err != nil {
+		refuseToNode(w, err, g.load(c))
+		return
+	}
 	p := newPulse(w)
 	a, err := g.do(r.Context(), c)
 	p.stop()
 	l := g.load(c)
 	if err != nil {
+		sent(-1)
 		refuseToNode(w, err, l)
 		return
 	}
+	defer func() { sent(a.length) }()
 	h := w.Header()
 	copyHeader(h, a.header)
 	h.Set(g.dialect.Request, c.request)
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -41,6 +41,8 @@
 	ran     map[string]bool
 	// sends counts the attempts that may have reached a target.
 	sends int
+	// owed says that a target was given up although it may have answered yet.
+	owed bool
 	// doubtful says that an attempt may have run.
 	doubtful bool
 	// print is the fingerprint of equal requests.
--- a/internal/forwarder/parts_test.go
+++ b/internal/forwarder/parts_test.go
@@ -151,3 +151,53 @@
 		}
 	})
 }
+
+// TestUplinkIsNotPromisedTwice replays downloads of 280 KB over a link of
+// 25 Mbit/s: five fit at once, and small answers always do.
+func TestUplinkIsNotPromisedTwice(t *testing.T) {
+	const size, rate = 280_000, 25e6 / 8
+	tests := []struct {
+		name string
+		rate float64
+		want int
+	}{
+		{"a slow link", rate, 5},
+		{"a fast link", 40 * rate, 100},
+		{"a link of unknown rate", 0, 100},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			u := uplink{bytesPerSecond: c.rate}
+			for _, k := range []struct {
+				class string
+				size  int64
+			}{{"map", size}, {"check", 500}} {
+				sent, err := u.reserve(k.class)
+				if err != nil {
+					t.Fatal(err)
+				}
+				sent(k.size)
+			}
+			var done []func(int64)
+			for range 100 {
+				if sent, err := u.reserve("map"); err == nil {
+					done = append(done, sent)
+				} else if w, ok := judge.WaitOf(err); !ok || w <= 0 || judge.Of(err) != judge.NotRun {
+					t.Errorf("refused without saying for how long: %v", err)
+				}
+			}
+			if len(done) != c.want {
+				t.Errorf("%d were promised, expected %d", len(done), c.want)
+			}
+			if _, err := u.reserve("check"); err != nil {
+				t.Errorf("a small answer was refused: %v", err)
+			}
+			for _, f := range done {
+				f(size)
+			}
+			if _, err := u.reserve("map"); err != nil {
+				t.Errorf("the link is not free again: %v", err)
+			}
+		})
+	}
+}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -32,7 +32,8 @@
 const (
 	logPrefix = "runner: "
 
-	expiryPeriod = 500 * time.Millisecond
+	expiryPeriod    = 500 * time.Millisecond
+	bytesPerMegabit = 1e6 / 8
 	// drainGrace lets callers and nodes hear of a stop before listeners close.
 	drainGrace = time.Second
 )
@@ -156,6 +157,7 @@
 	s := &n.settings
 	n.peers = connector.NewPeers(&n.calls, s.PeerBindAddress)
 	n.gate = forwarder.NewGate(&n.registrar, warden{n.gossiper}, n.around.Dialect, &n.calls)
+	n.gate.LimitUplink(s.LinkMbps * bytesPerMegabit)
 	w := forwarder.Where{Node: s.Node, DataCenter: s.DataCenter, Profile: s.Profile, Service: s.Service}
 	n.entry = forwarder.NewEntry(forwarder.Parts{
 		Holder:       &n.holder,
