--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -46,7 +46,10 @@
 	if p.document == "" {
 		return nil
 	}
-	_, err := p.store.Get(ctx, p.document)
+	err := p.repeat(ctx, func() error {
+		_, err := p.store.Get(ctx, p.document)
+		return err
+	})
 	if judge.Is(err, judge.NotFound) {
 		return nil
 	}
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -289,3 +289,47 @@
 		t.Errorf("version 2 was to be pruned: %v", err)
 	}
 }
+
+// stumbling fails the first reads.
+type stumbling struct {
+	storer.Store
+
+	failures int
+}
+
+func (s *stumbling) Get(ctx context.Context, key string) (storer.Value, error) {
+	if s.failures > 0 {
+		s.failures--
+		return storer.Value{}, judge.Error(judge.Unavailable, judge.NotRun, "store: down")
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func TestOperatorsDocumentRules(t *testing.T) {
+	const key = "op/config"
+	tests := []struct {
+		name     string
+		document bool
+		want     bool
+	}{{"there is none", false, true}, {"there is one", true, false}}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			s := &stumbling{Store: &imitator.Store{}, failures: 2}
+			if c.document {
+				if _, err := s.Put(t.Context(), key, []byte("{}"), 0, 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+			p := New(s, "kim").WithDocument(key)
+			f := router.Profile{Name: "everyday"}.WithService(encoder.DefaultService("s")).
+				WithRoute(router.Route{Name: "r", PathPrefix: "/", Destinations: []router.Destination{{Service: "s", Weight: 1}}})
+			_, err := p.Publish(t.Context(), f, "1")
+			if (err == nil) != c.want {
+				t.Errorf("publishing: %v", err)
+			}
+			if _, err = p.Withdraw(t.Context(), "everyday", "other", "2"); !c.want && (!judge.Is(err, judge.Conflict) || judge.Of(err) != judge.NotRun) {
+				t.Errorf("withdrawing: %v", err)
+			}
+		})
+	}
+}
