--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -115,11 +115,11 @@
 	defer b.mu.Unlock()
 	b.sweep(now)
 	t := b.tiers(list, q, now)
-	if p, ok := b.best(q, now, b.draw(t[nearTier], q, now), b.draw(t[farTier], q, now)); ok {
+	if p, ok := b.best(q, now, draw(t[nearTier], q), draw(t[farTier], q)); ok {
 		return p, true
 	}
 	for _, l := range t[greyTier:] {
-		if p, ok := b.best(q, now, b.draw(l, q, now)); ok {
+		if p, ok := b.best(q, now, draw(l, q)); ok {
 			return p, true
 		}
 	}
@@ -164,7 +164,7 @@
 }
 
 // draw returns up to two endpoints of l, always with the one of this node.
-func (b *Balancer) draw(l []gossiper.Endpoint, q Query, _ time.Time) []gossiper.Endpoint {
+func draw(l []gossiper.Endpoint, q Query) []gossiper.Endpoint {
 	if len(l) <= 2 {
 		return l
 	}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -27,9 +27,7 @@
 	DefaultStopBound = time.Minute
 	maxStopBound     = 24 * time.Hour
 	maxLinger        = time.Minute
-	// DefaultRetryWindow is the time over which retries are compared with calls.
-	DefaultRetryWindow = 10 * time.Second
-	maxRetryPercent    = 100
+	maxRetryPercent  = 100
 )
 
 // Defaults returns settings with the default of every field that has one.
@@ -39,7 +37,6 @@
 		FanOut:              defaultFanOut,
 		StopBound:           DefaultStopBound,
 		AnnouncementTTL:     registrar.DefaultTTL,
-		RetryWindow:         DefaultRetryWindow,
 	}
 }
 
@@ -90,10 +87,10 @@
 	// AnnouncementTTL is how long a target's announcement holds.
 	AnnouncementTTL time.Duration
 	// RetryPercent and RetrySlack bound the retries that all nodes together make
-	// for a service within RetryWindow; zeros leave it to the service.
+	// for a service, as a share of its calls and a number beyond it; zeros leave
+	// it to the service.
 	RetryPercent int
 	RetrySlack   float64
-	RetryWindow  time.Duration
 }
 
 // field reads one setting into s. The table below is the whole format.
