--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 )
 
@@ -74,3 +75,65 @@
 		t.Error("the only target is not tried although nothing else is left")
 	}
 }
+
+// TestSlowTargetIsLeft replays a service whose targets differ: one takes ten
+// times as long as the others, and tells so. Round robin would give it a
+// quarter of the calls.
+func TestSlowTargetIsLeft(t *testing.T) {
+	var b Balancer
+	now := time.Unix(1_800_000_000, 0)
+	l := []gossiper.Endpoint{endpoint("slow", "a"), endpoint("x", "a"), endpoint("y", "a"), endpoint("z", "a")}
+	for i := range l {
+		l[i].Slots = 12
+		l[i].Node = l[i].Address
+	}
+	const calls = 1000
+	n := map[string]int{}
+	for range calls {
+		now = now.Add(5 * time.Millisecond)
+		e, ok := b.Pick(l, Query{DataCenter: "a", Class: "read", Objective: 400 * time.Millisecond}, now)
+		if !ok {
+			t.Fatal("nothing chosen")
+		}
+		n[e.Address]++
+		d := 100 * time.Millisecond
+		if e.Address == "slow" {
+			d *= 10
+		}
+		end := b.Start(e, now)
+		b.Learn(e.Address, "read", gatekeeper.Load{Running: 2, Slots: 12, Duration: d}, now.Add(time.Millisecond))
+		end(Answered, now.Add(time.Millisecond))
+	}
+	if n["slow"] > calls/20 {
+		t.Errorf("%v", n)
+	}
+}
+
+// TestOtherDataCentresTakeWhatDoesNotFit replays a data centre whose only target
+// is full while others have room.
+func TestOtherDataCentresTakeWhatDoesNotFit(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	near, far := endpoint("near", "a"), endpoint("far", "b")
+	near.Slots, far.Slots = 12, 12
+	near.Node, far.Node = "n", "f"
+	tests := []struct {
+		name    string
+		running int
+		waiting int
+		want    string
+	}{
+		{"the near one has room", 6, 0, "near"},
+		{"it is full, and some wait", 12, 24, "far"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var b Balancer
+			b.Learn("near", "read", gatekeeper.Load{Running: c.running, Waiting: c.waiting, Slots: 12, Duration: 120 * time.Millisecond}, now)
+			b.Learn("far", "read", gatekeeper.Load{Running: 2, Slots: 12, Duration: 120 * time.Millisecond}, now)
+			e, _ := b.Pick([]gossiper.Endpoint{near, far}, Query{DataCenter: "a", Class: "read", Objective: 400 * time.Millisecond}, now)
+			if e.Address != c.want {
+				t.Errorf("got %s", e.Address)
+			}
+		})
+	}
+}
--- a/internal/gatekeeper/gate_test.go
+++ b/internal/gatekeeper/gate_test.go
@@ -123,3 +123,139 @@
 		}
 	})
 }
+
+// fill takes every slot of g for a while and returns what gives one back.
+func fill(t *testing.T, g *Gate, n int) []func() {
+	t.Helper()
+	var l []func()
+	for range n {
+		f, err := enterWith(t, g, Ticket{Class: "read", Deadline: time.Now().Add(time.Hour)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l = append(l, f)
+	}
+	return l
+}
+
+// teach makes g know that requests of a class take d.
+func teach(t *testing.T, g *Gate, class string, d time.Duration) {
+	t.Helper()
+	for range 3 {
+		f, err := enterWith(t, g, Ticket{Class: class, Deadline: time.Now().Add(time.Hour)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(d)
+		f()
+	}
+}
+
+// TestWhatCanNotBeServedIsRefusedAtOnce replays a burst at a full target: who
+// could not be answered in time is told so without waiting, and for how long.
+func TestWhatCanNotBeServedIsRefusedAtOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		ticket func(now time.Time) Ticket
+		taken  bool
+	}{
+		{"there is time", func(now time.Time) Ticket { return Ticket{Deadline: now.Add(time.Second)} }, true},
+		{"the wait is too long", func(now time.Time) Ticket { return Ticket{Deadline: now.Add(120 * time.Millisecond)} }, false},
+		{"only a free slot would do", func(now time.Time) Ticket { return Ticket{Deadline: now.Add(time.Second), Immediate: true} }, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := warm(2, 8)
+				teach(t, g, "read", 100*time.Millisecond)
+				l := fill(t, g, 2)
+				begun := time.Now()
+				k := c.ticket(begun)
+				k.Class = "read"
+				done := make(chan error, 1)
+				go func() {
+					f, err := enterWith(t, g, k)
+					if err == nil {
+						f()
+					}
+					done <- err
+				}()
+				synctest.Wait()
+				select {
+				case err := <-done:
+					w, ok := judge.WaitOf(err)
+					if c.taken || !ok || w <= 0 || judge.Of(err) != judge.NotRun {
+						t.Errorf("refused: %v", err)
+					}
+				default:
+					if !c.taken {
+						t.Error("it waits for nothing")
+					}
+				}
+				for _, f := range l {
+					f()
+				}
+				if c.taken {
+					if err := <-done; err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestRanks replays a queue that fills with less urgent work before calls of
+// targets and urgent requests come.
+func TestRanks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := warm(1, 3)
+		teach(t, g, "read", 10*time.Millisecond)
+		held := fill(t, g, 1)
+		now := time.Now()
+		order := make(chan string, 8)
+		ask := func(name string, k Ticket) {
+			k.Class, k.Deadline = "read", now.Add(time.Minute)
+			go func() {
+				f, err := enterWith(t, g, k)
+				if err != nil {
+					order <- name + " refused"
+					return
+				}
+				order <- name
+				f()
+			}()
+			synctest.Wait()
+		}
+		ask("reading", Ticket{Priority: 2, Objective: now.Add(time.Second)})
+		ask("late booking", Ticket{Priority: 1, Objective: now.Add(time.Millisecond)})
+		ask("booking", Ticket{Priority: 1, Objective: now.Add(time.Second)})
+		ask("call", Ticket{Nested: true, Priority: 3})
+		held[0]()
+		for _, want := range []string{"late booking refused", "call", "booking", "reading"} {
+			if got := <-order; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		}
+	})
+}
+
+// TestGivenUpWorkCountsAsLong replays a target that turns slow for good: all are
+// given up, and the estimate follows although none is answered.
+func TestGivenUpWorkCountsAsLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := warm(1, 3)
+		teach(t, g, "read", 10*time.Millisecond)
+		for range 60 {
+			p, err := g.Enter(t.Context(), Ticket{Class: "read", Deadline: time.Now().Add(time.Second)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+			p.Leave(Abandoned)
+		}
+		if d := g.Load("read").Duration; d < 900*time.Millisecond {
+			t.Errorf("estimated at %s", d)
+		}
+	})
+}
