--- /dev/null
+++ b/internal/gatekeeper/overload_test.go
@@ -0,0 +1,102 @@
+package gatekeeper
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// admitter is a policy of admission under comparison.
+type admitter interface {
+	// enter returns what gives a slot back, or false when the request is not run.
+	enter(ctx context.Context, k Ticket) (func(), bool)
+}
+
+type gated struct{ *Gate }
+
+func (g gated) enter(ctx context.Context, k Ticket) (func(), bool) {
+	p, err := g.Enter(ctx, k)
+	if err != nil {
+		return nil, false
+	}
+	return func() { p.Leave(Answered) }, true
+}
+
+// unbounded is the naive policy: first come, first served, and nobody is refused.
+type unbounded struct{ slots chan struct{} }
+
+func (u unbounded) enter(ctx context.Context, _ Ticket) (func(), bool) {
+	select {
+	case u.slots <- struct{}{}:
+		return func() { <-u.slots }, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+// outcome counts what callers got.
+type outcome struct{ timely, served, heldInVain atomic.Int64 }
+
+// replay sends requests to one target of four slots, half as many again as it
+// can run, for 20 s. Each takes 100 ms, is due after 400 ms, and its caller
+// leaves after a second.
+func replay(t *testing.T, a admitter) *outcome {
+	t.Helper()
+	const (
+		period    = 100 * time.Millisecond / 6
+		requests  = int(20 * time.Second / period)
+		work      = 100 * time.Millisecond
+		objective = 400 * time.Millisecond
+		patience  = time.Second
+	)
+	var o outcome
+	for range requests {
+		go func() {
+			now := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			leave, ok := a.enter(ctx, Ticket{Class: "read", Objective: now.Add(objective), Deadline: now.Add(patience)})
+			if !ok {
+				if time.Since(now) > objective/8 {
+					o.heldInVain.Add(1)
+				}
+				return
+			}
+			time.Sleep(work)
+			leave()
+			switch d := time.Since(now); {
+			case d <= objective:
+				o.timely.Add(1)
+				o.served.Add(1)
+			case d <= patience:
+				o.served.Add(1)
+			}
+		}()
+		time.Sleep(period)
+	}
+	time.Sleep(2 * patience)
+	return &o
+}
+
+// TestLongOverload compares the gate with the naive policy. The target can run
+// 800 requests in the time.
+func TestLongOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, capacity = 4, 800
+		n := replay(t, unbounded{slots: make(chan struct{}, slots)})
+		g := replay(t, gated{warm(slots, 24)})
+		t.Logf("naive: %d timely, %d served, %d held in vain; gate: %d, %d, %d",
+			n.timely.Load(), n.served.Load(), n.heldInVain.Load(), g.timely.Load(), g.served.Load(), g.heldInVain.Load())
+		if g.timely.Load() < capacity*9/10 {
+			t.Errorf("the gate answered %d in time, expected nine tenths of %d", g.timely.Load(), capacity)
+		}
+		if n.timely.Load() > g.timely.Load()/2 {
+			t.Errorf("the naive policy answered %d in time: the replay is no overload", n.timely.Load())
+		}
+		if g.heldInVain.Load() > capacity/10 {
+			t.Errorf("the gate held %d requests that it refused later", g.heldInVain.Load())
+		}
+	})
+}
