--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -110,7 +110,7 @@
 	{"caller_address", func(o *parser.Object, n string, s *Settings) { s.CallerAddress = readAddress(o, n) }},
 	{"local_address", func(o *parser.Object, n string, s *Settings) { s.LocalAddress = readAddress(o, n) }},
 	{"store_address", func(o *parser.Object, n string, s *Settings) { s.StoreAddress = readAddress(o, n) }},
-	{"peers", func(o *parser.Object, n string, s *Settings) { s.Peers = o.Texts(n, addressRule, validAddress) }},
+	{"peers", func(o *parser.Object, n string, s *Settings) { s.Peers = o.Texts(n, addressRule, ValidAddress) }},
 	{"relays_per_data_center", func(o *parser.Object, n string, s *Settings) {
 		s.RelaysPerDataCenter = int(o.Number(n, defaultRelays, 1, maxRelays))
 	}},
@@ -171,7 +171,7 @@
 
 func readAddress(o *parser.Object, name string) string {
 	s := o.Required(name, addressRule)
-	if s != "" && !validAddress(s) {
+	if s != "" && !ValidAddress(s) {
 		o.Reject(name, addressRule)
 	}
 	return s
@@ -185,7 +185,8 @@
 	return readAddress(o, name)
 }
 
-func validAddress(s string) bool {
+// ValidAddress reports whether s is an IP number with a port.
+func ValidAddress(s string) bool {
 	h, p, err := net.SplitHostPort(s)
 	if err != nil || net.ParseIP(h) == nil {
 		return false
--- a/internal/meter/conn.go
+++ b/internal/meter/conn.go
@@ -42,11 +42,6 @@
 	}
 }
 
-// Counted is a connection that knows how many bytes were written to it.
-type Counted interface {
-	Written() uint64
-}
-
 type listener struct {
 	net.Listener
 
@@ -66,7 +61,6 @@
 	net.Conn
 
 	traffic atomic.Pointer[Traffic]
-	written atomic.Uint64
 }
 
 func newConn(c net.Conn, t *Traffic) *conn {
@@ -78,10 +72,6 @@
 // NetConn returns the connection underneath.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
-// Written implements Counted. It counts what was handed to the connection,
-// whether or not the write succeeded.
-func (c *conn) Written() uint64 { return c.written.Load() }
-
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.Load().AddReceived(n)
@@ -89,7 +79,6 @@
 }
 
 func (c *conn) Write(b []byte) (int, error) {
-	c.written.Add(uint64(len(b)))
 	n, err := c.Conn.Write(b)
 	c.traffic.Load().AddSent(n)
 	return n, err
