--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -28,7 +28,6 @@
 		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
 	}
 	group.Go(func() { followSettings(ctx, c.Settings, configurer.Parse, n.Reload) })
-	group.Go(func() { followSettings(ctx, c.Settings, configurer.Parse, n.Reload) })
 	n.Run(ctx, e.again)
 	return nil
 }
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -29,7 +29,6 @@
 		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
 	}
 	group.Go(func() { followSettings(ctx, f, platform.DecodeSettings, n.Reload) })
-	group.Go(func() { followSettings(ctx, f, platform.DecodeSettings, n.Reload) })
 	n.Run(ctx, e.again)
 	return nil
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -55,7 +55,7 @@
 		if !e.again(j, err) {
 			break
 		}
-		j.owed = j.owed || judge.Is(err, errOverdue)
+		j.owed = j.doubtful
 		e.stats.Retries.Add(1)
 	}
 	if failure != nil {
@@ -64,9 +64,9 @@
 	return nil, j.verdict(j.failure)
 }
 
-// pause waits a moment before a request whose target was given up is offered
-// again, and reports whether there is time for it. Such a request is not
-// refused: it would have been answered, late.
+// pause waits a moment before a request that may have run is offered again, and
+// reports whether there is time for it. Its retry has been charged, so it is
+// offered until its deadline rather than failed for want of a free slot.
 func (e *Entry) pause(j *job) bool {
 	clear(j.refused)
 	return time.Until(j.deadline) > 2*owedPause && sleeper.Sleep(j.ctx, owedPause)
--- /dev/null
+++ b/internal/forwarder/entry_test.go
@@ -0,0 +1,117 @@
+package forwarder
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
+	"github.com/dragonflydoor/dragonflydoor/internal/connector"
+	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
+	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+	"github.com/dragonflydoor/dragonflydoor/internal/holder"
+	"github.com/dragonflydoor/dragonflydoor/internal/logger"
+	"github.com/dragonflydoor/dragonflydoor/internal/meter"
+	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
+	"github.com/dragonflydoor/dragonflydoor/internal/router"
+)
+
+// aloneMesh is a mesh of one node, named "n", with one target of service "s".
+type aloneMesh struct{ view *gossiper.View }
+
+func (m aloneMesh) View() *gossiper.View     { return m.view }
+func (m aloneMesh) Trusted(string) time.Time { return time.Time{} }
+
+// newEntry returns the entry of a node with a target, whose every request goes
+// to it, and the target's gate.
+func newEntry(t *testing.T, target string, l router.Limits) (*Entry, *gatekeeper.Gate) {
+	t.Helper()
+	var r registrar.Registrar
+	r.Announce(registrar.Announcement{Service: "s", Address: target, Instance: "i"}, l, time.Now())
+	var h holder.Holder
+	p := holder.NewProfile(encoder.Seal(router.Profile{
+		Name: "p",
+		Services: []router.Service{{
+			Name: "s", Timeout: 2 * time.Second, Limits: l,
+			Retry: router.RetryPolicy{MaxAttempts: 3, BudgetPercent: 20},
+		}},
+		Routes: []router.Route{{Name: "r", PathPrefix: "/", Destinations: []router.Destination{{Service: "s", Weight: 1}}}},
+	}))
+	s := accepter.State{Generation: 1}.WithEntries([]accepter.Entry{{Profile: "p", Version: 1, Digest: p.Digest}})
+	if o, err := h.Offer(s, []*holder.Profile{p}); o != holder.Applied {
+		t.Fatalf("the configuration was %s: %v", o, err)
+	}
+	m := gossiper.Member{Node: "n", PeerAddress: "127.0.0.1:1", Targets: []gossiper.Target{{Service: "s", Address: target, Slots: l.Slots}}}
+	var c meter.Traffic
+	e := NewEntry(Parts{
+		Holder: &h,
+		Mesh:   aloneMesh{gossiper.ViewOf([]gossiper.Member{m})},
+		Gate:   NewGate(&r, nobody{}, OwnDialect, &c),
+		Peers:  connector.NewPeers(&c, ""),
+		Stats:  &Stats{},
+		Lines:  logger.NewLines(),
+	}, OwnDialect, Where{Node: "n", Profile: "p", Service: "s"})
+	g, ok := r.Find("s", target)
+	if !ok {
+		t.Fatal("the target is not registered")
+	}
+	return e, g.Gate
+}
+
+// occupy takes the only slot of a gate once it is free, for d, and closes the
+// queue behind it.
+func occupy(t *testing.T, g *gatekeeper.Gate, l router.Limits, d time.Duration) {
+	t.Helper()
+	go func() {
+		p, err := g.Enter(t.Context(), gatekeeper.Ticket{Nested: true, Deadline: time.Now().Add(time.Minute)})
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		time.Sleep(d)
+		p.Leave(gatekeeper.Abandoned)
+	}()
+	for g.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.Queue = 0
+	g.Limit(l)
+}
+
+// TestGrantedRetryIsOfferedUntilItsDeadline breaks off the first attempt while
+// the gate fills up with more urgent requests. A request that may have run and
+// whose retry was granted waits for room; one that must not be repeated fails.
+func TestGrantedRetryIsOfferedUntilItsDeadline(t *testing.T) {
+	tests := []struct {
+		name, method string
+		status, runs int
+	}{
+		{"repeatable", http.MethodGet, http.StatusOK, 2},
+		{"at most once", http.MethodPost, http.StatusBadGateway, 1},
+	}
+	limits := router.Limits{Slots: 1, Connections: 4, Queue: 1, MaxBodyBytes: 1 << 10}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int32
+			var gate *gatekeeper.Gate
+			s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				if runs.Add(1) > 1 {
+					return
+				}
+				occupy(t, gate, limits, 200*time.Millisecond)
+				panic(http.ErrAbortHandler)
+			}))
+			defer s.Close()
+			var e *Entry
+			e, gate = newEntry(t, s.Listener.Addr().String(), limits)
+			w := httptest.NewRecorder()
+			e.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), c.method, "/x", nil))
+			if w.Code != c.status || int(runs.Load()) != c.runs {
+				t.Errorf("status %d after %d runs, expected %d after %d: %s", w.Code, runs.Load(), c.status, c.runs, w.Body)
+			}
+		})
+	}
+}
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -299,7 +299,7 @@
 		return
 	default:
 	}
-	sent, err := g.uplink.reserve(c.class)
+	sent, err := g.uplink.reserve(c.class, c.objective, g.load(c).Duration)
 	if err != nil {
 		refuseToNode(w, err, g.load(c))
 		return
@@ -318,7 +318,8 @@
 	copyHeader(h, a.header)
 	h.Set(g.dialect.Request, c.request)
 	h.Set(HopHeader, report{load: l, callees: g.working.callees(c.class, time.Now())}.format())
-	if err := a.write(w); err != nil {
+	if err := a.write(g.uplink.pace(r.Context(), w, a.length)); err != nil {
+		klog.InfoS("Answer to another node was cut short", "request", c.request, "target", c.target, "cause", err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -41,7 +41,7 @@
 	ran     map[string]bool
 	// sends counts the attempts that may have reached a target.
 	sends int
-	// owed says that a target was given up although it may have answered yet.
+	// owed says that a retry was granted after an attempt that may have run.
 	owed bool
 	// doubtful says that an attempt may have run.
 	doubtful bool
--- a/internal/forwarder/parts_test.go
+++ b/internal/forwarder/parts_test.go
@@ -172,7 +172,7 @@
 				class string
 				size  int64
 			}{{"map", size}, {"check", 500}} {
-				sent, err := u.reserve(k.class)
+				sent, err := u.reserve(k.class, 0, 0)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -180,7 +180,7 @@
 			}
 			var done []func(int64)
 			for range 100 {
-				if sent, err := u.reserve("map"); err == nil {
+				if sent, err := u.reserve("map", 0, 0); err == nil {
 					done = append(done, sent)
 				} else if w, ok := judge.WaitOf(err); !ok || w <= 0 || judge.Of(err) != judge.NotRun {
 					t.Errorf("refused without saying for how long: %v", err)
@@ -189,13 +189,13 @@
 			if len(done) != c.want {
 				t.Errorf("%d were promised, expected %d", len(done), c.want)
 			}
-			if _, err := u.reserve("check"); err != nil {
+			if _, err := u.reserve("check", 0, 0); err != nil {
 				t.Errorf("a small answer was refused: %v", err)
 			}
 			for _, f := range done {
 				f(size)
 			}
-			if _, err := u.reserve("map"); err != nil {
+			if _, err := u.reserve("map", 0, 0); err != nil {
 				t.Errorf("the link is not free again: %v", err)
 			}
 		})
--- a/internal/forwarder/uplink.go
+++ b/internal/forwarder/uplink.go
@@ -1,27 +1,37 @@
 package forwarder
 
 import (
+	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
-	// uplinkBound is how long what a gate has promised to send may keep the link
-	// of its VM busy. It covers the work of the targets meanwhile, and leaves
-	// answers the time that routes usually allow.
+	// uplinkBound is how long the answers promised before a request without an
+	// objective may keep the link of the VM busy: the time that routes usually
+	// allow, less the work of the target.
 	uplinkBound = 500 * time.Millisecond
-	// smallAnswer is the size up to which answers are never refused: they hardly
-	// add to the queue on the link.
+	// lateUplinkBound is the same for a request that misses its objective anyway:
+	// a fraction, so that timely ones find room.
+	lateUplinkBound = 100 * time.Millisecond
+	// smallAnswer is the size up to which answers are neither refused nor paced:
+	// they hardly add to the queue on the link.
 	smallAnswer = 16 << 10
-	sizeWeight  = 0.1
+	// pacedPart is the part of the link's rate that large answers are sent at. The
+	// rest is for small answers, for control messages and for headers.
+	pacedPart  = 0.85
+	sizeWeight = 0.1
 )
 
 // uplink keeps a gate from promising more answers than the link of its VM can
-// carry. It answers downloads over a slow link: each takes a share of it, and
-// when too many are sent at once all of them are late, as is everything else
-// that the node has to say. Its zero value knows no bound.
+// carry, and from filling the queue on that link. It answers downloads over a
+// slow link: when too many are sent at once all of them are late, and so are the
+// small answers that wait behind them in the link's queue. Its zero value knows
+// no bound.
 type uplink struct {
 	// bytesPerSecond is the rate of the link; 0 is unbounded.
 	bytesPerSecond float64
@@ -29,24 +39,35 @@
 	mu      sync.Mutex
 	sizes   map[string]float64
 	pending float64
+	// free is when the link has sent what was handed to it.
+	free time.Time
 }
 
-// reserve promises an answer of a class. The returned function takes its size,
-// or -1 when there was none.
-func (u *uplink) reserve(class string) (func(size int64), error) {
+// reserve promises an answer of a class that must be sent within objective, if
+// that is not zero, and takes the target work. The returned function takes the
+// answer's size, or -1 when there was none.
+func (u *uplink) reserve(class string, objective, work time.Duration) (func(size int64), error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.sizes[class]
-	if u.bytesPerSecond > 0 && s > smallAnswer {
-		w := time.Duration((u.pending + s) / u.bytesPerSecond * float64(time.Second))
-		if w > uplinkBound && u.pending > 0 {
-			return nil, judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "gate: the link is busy for %s", w), w-uplinkBound)
+	if u.bytesPerSecond > 0 && s > smallAnswer && u.pending > 0 {
+		b := uplinkBound
+		if objective > 0 {
+			b = max(objective-max(work-u.duration(u.pending), 0)-u.duration(s), lateUplinkBound)
+		}
+		if w := u.duration(u.pending); w > b {
+			return nil, judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "gate: the link is busy for %s", w), w-b)
 		}
 	}
 	u.pending += s
 	return func(size int64) { u.release(class, s, size) }, nil
 }
 
+// duration is how long large answers of n bytes take.
+func (u *uplink) duration(n float64) time.Duration {
+	return time.Duration(n / (pacedPart * u.bytesPerSecond) * float64(time.Second))
+}
+
 func (u *uplink) release(class string, reserved float64, size int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -63,3 +84,56 @@
 	}
 	u.sizes[class] = s + sizeWeight*(float64(size)-s)
 }
+
+// pace returns a writer to w that sends an answer of size bytes, -1 when that is
+// not known, at the link's rate.
+func (u *uplink) pace(ctx context.Context, w http.ResponseWriter, size int64) http.ResponseWriter {
+	if u.bytesPerSecond == 0 || (size >= 0 && size <= smallAnswer) {
+		return w
+	}
+	return &pacedWriter{ResponseWriter: w, ctx: ctx, link: u}
+}
+
+// claim takes the link for n bytes and returns how long it is still busy with
+// others.
+func (u *uplink) claim(n int, now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.free.Before(now) {
+		u.free = now
+	}
+	w := u.free.Sub(now)
+	u.free = u.free.Add(u.duration(float64(n)))
+	return w
+}
+
+// pacedWriter writes parts of an answer at the rate of a link that it shares
+// with other answers.
+type pacedWriter struct {
+	http.ResponseWriter
+
+	ctx  context.Context //nolint:containedctx // the life of one answer
+	link *uplink
+}
+
+// Write implements io.Writer.
+func (w *pacedWriter) Write(p []byte) (int, error) {
+	sent := 0
+	for sent < len(p) {
+		n := min(len(p)-sent, smallAnswer)
+		if !sleeper.Sleep(w.ctx, w.link.claim(n, time.Now())) {
+			return sent, context.Cause(w.ctx)
+		}
+		k, err := w.ResponseWriter.Write(p[sent : sent+n])
+		sent += k
+		if err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
+}
+
+// Unwrap returns the writer to http.ResponseController.
+func (w *pacedWriter) Unwrap() http.ResponseWriter {
+	return w.ResponseWriter
+}
