--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -299,21 +299,23 @@
 		return
 	default:
 	}
-	sent, err := g.uplink.reserve(c.class, c.objective, g.load(c).Duration)
+	room, err := g.uplink.reserve(c.class, c.objective, g.load(c).Duration)
 	if err != nil {
 		refuseToNode(w, err, g.load(c))
 		return
 	}
+	defer room.end()
 	p := newPulse(w)
 	a, err := g.do(r.Context(), c)
 	p.stop()
 	l := g.load(c)
 	if err != nil {
-		sent(-1)
 		refuseToNode(w, err, l)
 		return
 	}
-	defer func() { sent(a.length) }()
+	if a.length >= 0 {
+		room.resize(a.length)
+	}
 	h := w.Header()
 	copyHeader(h, a.header)
 	h.Set(g.dialect.Request, c.request)
--- a/internal/forwarder/uplink.go
+++ b/internal/forwarder/uplink.go
@@ -43,10 +43,16 @@
 	free time.Time
 }
 
+// reservation is an answer that was promised.
+type reservation struct {
+	link  *uplink
+	class string
+	bytes float64
+}
+
 // reserve promises an answer of a class that must be sent within objective, if
-// that is not zero, and takes the target work. The returned function takes the
-// answer's size, or -1 when there was none.
-func (u *uplink) reserve(class string, objective, work time.Duration) (func(size int64), error) {
+// that is not zero, and takes the target work.
+func (u *uplink) reserve(class string, objective, work time.Duration) (*reservation, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.sizes[class]
@@ -60,29 +66,38 @@
 		}
 	}
 	u.pending += s
-	return func(size int64) { u.release(class, s, size) }, nil
-}
-
-// duration is how long large answers of n bytes take.
-func (u *uplink) duration(n float64) time.Duration {
-	return time.Duration(n / (pacedPart * u.bytesPerSecond) * float64(time.Second))
+	return &reservation{link: u, class: class, bytes: s}, nil
 }
 
-func (u *uplink) release(class string, reserved float64, size int64) {
+// resize takes the answer's size as soon as it is known. The sizes of a class
+// are averaged; before the first, its answers are taken for small.
+func (r *reservation) resize(size int64) {
+	u := r.link
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.pending -= reserved
-	if size < 0 {
-		return
-	}
+	u.pending += float64(size) - r.bytes
+	r.bytes = float64(size)
 	if u.sizes == nil {
 		u.sizes = make(map[string]float64)
 	}
-	s, ok := u.sizes[class]
+	s, ok := u.sizes[r.class]
 	if !ok {
-		s = float64(size)
+		s = r.bytes
 	}
-	u.sizes[class] = s + sizeWeight*(float64(size)-s)
+	u.sizes[r.class] = s + sizeWeight*(r.bytes-s)
+}
+
+// end notes that the answer was sent, or that there was none.
+func (r *reservation) end() {
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	r.link.pending -= r.bytes
+	r.bytes = 0
+}
+
+// duration is how long large answers of n bytes take.
+func (u *uplink) duration(n float64) time.Duration {
+	return time.Duration(n / (pacedPart * u.bytesPerSecond) * float64(time.Second))
 }
 
 // pace returns a writer to w that sends an answer of size bytes, -1 when that is
--- a/internal/forwarder/uplink_test.go
+++ b/internal/forwarder/uplink_test.go
@@ -6,12 +6,14 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 )
 
 // TestDownloadsOverASlowLink replays downloads of 280 KB, three times as many as
 // a link of 25 Mbit/s carries, for 20 s. A bound on what is promised keeps those
-// that are taken within their objective and the link busy; without one, only the
-// first of them are in time.
+// that are taken within their objective and the link busy, but for the few that
+// come before any size is known; without one, only the first are in time.
 func TestDownloadsOverASlowLink(t *testing.T) {
 	const (
 		size      = 280_000
@@ -20,36 +22,40 @@
 		count     = 660
 		work      = 110 * time.Millisecond
 		objective = 600 * time.Millisecond
+		// unseen come before the first answer.
+		unseen = int(work/period) + 1
 		// carried is what the paced part of the link takes in the time.
 		carried = pacedPart * rate * float64(count) * float64(period) / float64(time.Second) / size
 	)
 	tests := []struct {
 		name    string
 		bounded bool
+		sizes   map[string]float64
 		check   func(timely, late int) bool
 	}{
-		{"bounded", true, func(timely, late int) bool { return float64(timely) > 0.9*carried && late == 0 }},
-		{"unbounded", false, func(timely, late int) bool { return timely < 20 && late == count-timely }},
+		{"bounded", true, map[string]float64{"map": size}, func(timely, late int) bool { return float64(timely) > 0.9*carried && late == 0 }},
+		{"bounded, sizes are not known", true, nil, func(timely, late int) bool { return float64(timely) > 0.9*carried && late <= unseen }},
+		{"unbounded", false, nil, func(timely, late int) bool { return timely < 20 && late == count-timely }},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				u := uplink{bytesPerSecond: rate}
-				u.sizes = map[string]float64{"map": size}
+				u := uplink{bytesPerSecond: rate, sizes: c.sizes}
 				var mu sync.Mutex
 				var timely, late int
 				serve := func() {
 					begun := time.Now()
-					sent := func(int64) {}
+					room := &reservation{link: &u}
 					if c.bounded {
 						var err error
-						if sent, err = u.reserve("map", objective, work); err != nil {
+						if room, err = u.reserve("map", objective, work); err != nil {
 							return
 						}
 					}
 					time.Sleep(work)
+					room.resize(size)
 					_, _ = u.pace(t.Context(), httptest.NewRecorder(), size).Write(make([]byte, size))
-					sent(size)
+					room.end()
 					mu.Lock()
 					defer mu.Unlock()
 					if time.Since(begun) <= objective {
@@ -93,3 +99,54 @@
 		t.Error("another late one was promised")
 	}
 }
+
+// TestUplinkIsNotPromisedTwice replays downloads of 280 KB over a link of
+// 25 Mbit/s: five fit at once, and small answers always do.
+func TestUplinkIsNotPromisedTwice(t *testing.T) {
+	const size, rate = 280_000, 25e6 / 8
+	tests := []struct {
+		name string
+		rate float64
+		want int
+	}{
+		{"a slow link", rate, 5},
+		{"a fast link", 40 * rate, 100},
+		{"a link of unknown rate", 0, 100},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			u := uplink{bytesPerSecond: c.rate}
+			for _, k := range []struct {
+				class string
+				size  int64
+			}{{"map", size}, {"check", 500}} {
+				r, err := u.reserve(k.class, 0, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.resize(k.size)
+				r.end()
+			}
+			var promised []*reservation
+			for range 100 {
+				if r, err := u.reserve("map", 0, 0); err == nil {
+					promised = append(promised, r)
+				} else if w, ok := judge.WaitOf(err); !ok || w <= 0 || judge.Of(err) != judge.NotRun {
+					t.Errorf("refused without saying for how long: %v", err)
+				}
+			}
+			if len(promised) != c.want {
+				t.Errorf("%d were promised, expected %d", len(promised), c.want)
+			}
+			if _, err := u.reserve("check", 0, 0); err != nil {
+				t.Errorf("a small answer was refused: %v", err)
+			}
+			for _, r := range promised {
+				r.end()
+			}
+			if _, err := u.reserve("map", 0, 0); err != nil {
+				t.Errorf("the link is not free again: %v", err)
+			}
+		})
+	}
+}
