--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -61,9 +61,10 @@
 }
 
 // LimitUplink bounds what is promised to other nodes by the rate of the link
-// that carries it.
-func (g *Gate) LimitUplink(bytesPerSecond float64) {
+// that carries it and all of traffic, a count of bytes.
+func (g *Gate) LimitUplink(bytesPerSecond float64, traffic func() uint64) {
 	g.uplink.bytesPerSecond = bytesPerSecond
+	g.uplink.traffic = traffic
 }
 
 // Sweep closes connections that have been idle for too long.
--- a/internal/forwarder/uplink.go
+++ b/internal/forwarder/uplink.go
@@ -21,9 +21,9 @@
 	// smallAnswer is the size up to which answers are neither refused nor paced:
 	// they hardly add to the queue on the link.
 	smallAnswer = 16 << 10
-	// pacedPart is the part of the link's rate that large answers are sent at. The
-	// rest is for small answers, for control messages and for headers.
-	pacedPart  = 0.85
+	// usablePart is the part of the link's rate that is used: headers of packets
+	// and acknowledgements, which are not counted, take about 5% of it.
+	usablePart = 0.9
 	sizeWeight = 0.1
 )
 
@@ -35,12 +35,17 @@
 type uplink struct {
 	// bytesPerSecond is the rate of the link; 0 is unbounded.
 	bytesPerSecond float64
+	// traffic returns the bytes that the node has moved over the link, and may be
+	// nil.
+	traffic func() uint64
 
 	mu      sync.Mutex
 	sizes   map[string]float64
 	pending float64
-	// free is when the link has sent what was handed to it.
-	free time.Time
+	// free is when the link has moved what was handed to it, as of the last claim.
+	free, claimed time.Time
+	// counted is how much of the traffic free takes into account.
+	counted uint64
 }
 
 // reservation is an answer that was promised.
@@ -59,9 +64,9 @@
 	if u.bytesPerSecond > 0 && s > smallAnswer && u.pending > 0 {
 		b := uplinkBound
 		if objective > 0 {
-			b = max(objective-max(work-u.duration(u.pending), 0)-u.duration(s), lateUplinkBound)
+			b = max(objective-max(work-u.duration(u.pending), 0), lateUplinkBound+u.duration(s))
 		}
-		if w := u.duration(u.pending); w > b {
+		if w := u.duration(u.pending + s); w > b {
 			return nil, judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "gate: the link is busy for %s", w), w-b)
 		}
 	}
@@ -97,7 +102,7 @@
 
 // duration is how long large answers of n bytes take.
 func (u *uplink) duration(n float64) time.Duration {
-	return time.Duration(n / (pacedPart * u.bytesPerSecond) * float64(time.Second))
+	return time.Duration(n / (usablePart * u.bytesPerSecond) * float64(time.Second))
 }
 
 // pace returns a writer to w that sends an answer of size bytes, -1 when that is
@@ -110,20 +115,32 @@
 }
 
 // claim takes the link for n bytes and returns how long it is still busy with
-// others.
+// others: large answers, and all that the node has moved meanwhile.
 func (u *uplink) claim(n int, now time.Time) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.free.Before(u.claimed) {
+		u.free = u.claimed
+	}
+	if u.traffic != nil {
+		// What was claimed and is not written yet is counted ahead.
+		if t := u.traffic(); t > u.counted {
+			u.free = u.free.Add(u.duration(float64(t - u.counted)))
+			u.counted = t
+		}
+		u.counted += uint64(n)
+	}
 	if u.free.Before(now) {
 		u.free = now
 	}
+	u.claimed = now
 	w := u.free.Sub(now)
 	u.free = u.free.Add(u.duration(float64(n)))
 	return w
 }
 
-// pacedWriter writes parts of an answer at the rate of a link that it shares
-// with other answers.
+// pacedWriter writes an answer at the rate of a link, after those that claimed
+// the link before it. An answer whose reader stalls only loses its own turn.
 type pacedWriter struct {
 	http.ResponseWriter
 
@@ -133,14 +150,15 @@
 
 // Write implements io.Writer.
 func (w *pacedWriter) Write(p []byte) (int, error) {
+	now := time.Now()
+	begin := now.Add(w.link.claim(len(p), now))
 	sent := 0
 	for sent < len(p) {
-		n := min(len(p)-sent, smallAnswer)
-		if !sleeper.Sleep(w.ctx, w.link.claim(n, time.Now())) {
+		if !sleeper.Sleep(w.ctx, time.Until(begin.Add(w.link.duration(float64(sent))))) {
 			return sent, context.Cause(w.ctx)
 		}
-		k, err := w.ResponseWriter.Write(p[sent : sent+n])
-		sent += k
+		n, err := w.ResponseWriter.Write(p[sent:min(len(p), sent+smallAnswer)])
+		sent += n
 		if err != nil {
 			return sent, err
 		}
