--- a/internal/forwarder/uplink.go
+++ b/internal/forwarder/uplink.go
@@ -18,6 +18,10 @@
 	// lateUplinkBound is the same for a request that misses its objective anyway:
 	// a fraction, so that timely ones find room.
 	lateUplinkBound = 100 * time.Millisecond
+	// timelyPart is the part of its objective within which a large answer must be
+	// expected to be sent: a queue that is full up to the objective makes most
+	// answers a little late, and a shorter one keeps the link as busy.
+	timelyPart = 0.6
 	// smallAnswer is the size up to which answers are neither refused nor paced:
 	// they hardly add to the queue on the link.
 	smallAnswer = 16 << 10
@@ -35,14 +39,14 @@
 type uplink struct {
 	// bytesPerSecond is the rate of the link; 0 is unbounded.
 	bytesPerSecond float64
-	// traffic returns the bytes that the node has moved over the link, and may be
+	// traffic returns the bytes that the node has sent over the link, and may be
 	// nil.
 	traffic func() uint64
 
 	mu      sync.Mutex
 	sizes   map[string]float64
 	pending float64
-	// free is when the link has moved what was handed to it, as of the last claim.
+	// free is when the link has sent what was handed to it, as of the last claim.
 	free, claimed time.Time
 	// counted is how much of the traffic free takes into account.
 	counted uint64
@@ -64,7 +68,8 @@
 	if u.bytesPerSecond > 0 && s > smallAnswer && u.pending > 0 {
 		b := uplinkBound
 		if objective > 0 {
-			b = max(objective-max(work-u.duration(u.pending), 0), lateUplinkBound+u.duration(s))
+			d := time.Duration(timelyPart * float64(objective))
+			b = max(d-max(work-u.duration(u.pending), 0), lateUplinkBound+u.duration(s))
 		}
 		if w := max(u.duration(u.pending), time.Until(u.free)) + u.duration(s); w > b {
 			return nil, judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "gate: the link is busy for %s", w), w-b)
@@ -115,7 +120,7 @@
 }
 
 // claim takes the link for n bytes and returns how long it is still busy with
-// others: large answers, and all that the node has moved meanwhile.
+// others: large answers, and all that the node has sent meanwhile.
 func (u *uplink) claim(n int, now time.Time) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -46,7 +46,6 @@
 	started time.Time
 	control meter.Traffic
 	calls   meter.Traffic
-	callers meter.Traffic
 	// targets counts what does not leave the VM.
 	targets meter.Traffic
 	stats   forwarder.Stats
@@ -160,7 +159,7 @@
 	s := &n.settings
 	n.peers = connector.NewPeers(&n.calls, s.PeerBindAddress)
 	n.gate = forwarder.NewGate(&n.registrar, warden{n.gossiper}, n.around.Dialect, &n.targets)
-	n.gate.LimitUplink(s.LinkMbps*bytesPerMegabit, n.moved)
+	n.gate.LimitUplink(s.LinkMbps*bytesPerMegabit, n.sent)
 	w := forwarder.Where{Node: s.Node, DataCenter: s.DataCenter, Profile: s.Profile, Service: s.Service}
 	n.entry = forwarder.NewEntry(forwarder.Parts{
 		Holder:       &n.holder,
@@ -182,13 +181,9 @@
 	n.scrape = connector.NewServer(n.scraped)
 }
 
-// moved returns the bytes that the node has moved over the link of its VM.
-func (n *Node) moved() uint64 {
-	var sum uint64
-	for _, t := range []*meter.Traffic{&n.control, &n.calls, &n.callers} {
-		sum += t.Sent() + t.Received()
-	}
-	return sum
+// sent returns the bytes that the node has sent to other nodes and the store.
+func (n *Node) sent() uint64 {
+	return n.control.Sent() + n.calls.Sent()
 }
 
 // Run serves until ctx is done, then drains and returns. A second signal on
@@ -205,7 +200,7 @@
 
 func (n *Node) serve() {
 	n.group.Go(func() { n.listenOn(n.peer, n.control.Listener(n.sockets.peer)) })
-	n.group.Go(func() { n.listenOn(n.caller, connector.KeepHeads(n.callers.Listener(n.sockets.caller))) })
+	n.group.Go(func() { n.listenOn(n.caller, connector.KeepHeads(n.sockets.caller)) })
 	n.group.Go(func() { n.listenOn(n.local, n.sockets.local) })
 	if n.sockets.ready != nil && n.ready != nil {
 		n.group.Go(func() { n.listenOn(n.ready, n.sockets.ready) })
