Add a randomized fault soak of real processes

Nodes, targets and the store run as processes; signals, links and the store fail at random, overlapping, while callers keep their connections. While it runs and after it, what callers were told is compared with what targets ran, drains, histories of generations, recovery and planned stops are checked.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 LINT := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
 BUF := $(BIN)/buf-$(BUF_VERSION)
 
-.PHONY: build demo test format vet lint unit scenarios measure capacity generate clean
+SEED ?= 1
+COUNT ?= 1
+
+.PHONY: build demo test format vet lint unit scenarios soak measure capacity generate clean
 
 build:
 	go build -o dragonflydoor .
@@ -33,6 +36,11 @@
 	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known red: /' || true
 	go test -race -count=1 -timeout 6m ./scenarios
 
+# soak plays randomized faults: make soak SEED=7, or COUNT=50 seeds from there on;
+# SOAK passes options, such as -soak.nodes=100.
+soak:
+	go test -race -count=1 -timeout 60m -parallel 4 ./scenarios -run '^TestSoak$$' -soak.seed=$(SEED) -soak.count=$(COUNT) $(SOAK)
+
 # measure prints one JSON object a line; MEASURE passes options, such as --short.
 measure:
 	go build -o $(BIN)/dragonflydoor .
--- a/internal/imitator/link.go
+++ b/internal/imitator/link.go
@@ -29,8 +29,11 @@
 
 	mu      sync.Mutex
 	blocked map[string]bool
-	conns   map[*linkConn]bool
-	flows   map[string]*net.UDPConn
+	// mute loses what the node sends, and delay holds up everything.
+	mute  bool
+	delay time.Duration
+	conns map[*linkConn]bool
+	flows map[string]*net.UDPConn
 }
 
 // NewLink returns a link from address public to that of a node.
@@ -62,6 +65,30 @@
 	clear(l.blocked)
 }
 
+// Mute loses what the node sends on connections through the link, or ends that.
+// What is sent to the node still arrives.
+func (l *Link) Mute(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mute = on
+}
+
+// Delay holds up what passes in either direction for d.
+func (l *Link) Delay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// Reset closes every open connection; new ones work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.reset()
+	}
+}
+
 // Silence makes every open connection silent for good; new ones work.
 func (l *Link) Silence() {
 	l.mu.Lock()
@@ -107,6 +134,12 @@
 	}
 }
 
+func (l *Link) faults() (mute bool, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mute, l.delay
+}
+
 func (l *Link) isBlocked(ip string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -160,6 +193,16 @@
 	c.once.Do(func() { close(c.silent) })
 }
 
+// reset closes both ends so that neither takes it for a normal end.
+func (c *linkConn) reset() {
+	for _, n := range []net.Conn{c.near, c.far} {
+		if t, ok := n.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+	}
+	c.close()
+}
+
 func (c *linkConn) close() {
 	_ = c.near.Close()
 	if c.far != nil {
@@ -172,7 +215,9 @@
 	b := make([]byte, linkBuffer)
 	for {
 		n, err := from.Read(b)
-		if c.isSilent() {
+		mute, delay := c.link.faults()
+		time.Sleep(delay)
+		if c.isSilent() || (mute && to == c.near) {
 			// Nothing more passes, not even the end of the connection.
 			_, _ = io.Copy(io.Discard, from)
 			return
@@ -260,7 +305,7 @@
 			time.Sleep(linkRecheck)
 			continue
 		}
-		if !l.isBlocked(source.IP.String()) {
+		if mute, _ := l.faults(); !mute && !l.isBlocked(source.IP.String()) {
 			_, _ = u.WriteToUDP(b[:n], source)
 		}
 	}
--- a/internal/imitator/target.go
+++ b/internal/imitator/target.go
@@ -41,7 +41,8 @@
 	Slots    int
 	// Exit ends the process; tests replace it.
 	Exit func()
-	// Journal receives a line for each run, before anything else happens.
+	// Journal receives a line for each run, with the time in Unix milliseconds,
+	// before anything else happens.
 	Journal io.Writer
 
 	mu       sync.Mutex
@@ -196,7 +197,7 @@
 	if run != "" {
 		t.runs[run]++
 		if t.Journal != nil {
-			_, _ = fmt.Fprintf(t.Journal, "run %s\n", run)
+			_, _ = fmt.Fprintf(t.Journal, "run %s %d\n", run, time.Now().UnixMilli())
 		}
 	}
 	t.running++
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -71,24 +71,33 @@
 func nodeCommand(ts *testscript.TestScript, _ bool, args []string) {
 	m := meshOf(ts)
 	n := args[0]
+	f, err := m.configure(n, args[1], ts.Getenv("RELAYS"), args[2:])
+	check(ts, err)
+	check(ts, m.start(n, "dragonflydoor", "node", "--settings", f))
+	check(ts, eventually(stepBound, func() error {
+		_, err := m.dump(n)
+		return err
+	}))
+}
+
+// configure writes the settings of a node, puts a link in front of it, and
+// returns the settings file.
+func (m *mesh) configure(node, dataCenter, relays string, known []string) (string, error) {
 	var peers []string
-	for _, p := range args[2:] {
+	for _, p := range known {
 		peers = append(peers, strconv.Quote(m.address(p+".peer")))
 	}
 	s := fmt.Sprintf(`{"node": %q, "data_center": %q, "profile": "everyday", "log_verbosity": 1,
 		"peer_address": %q, "peer_bind_address": %q, "caller_address": %q, "local_address": %q, "store_address": %q,
 		"relays_per_data_center": %s, "fan_out": 2, "peers": [%s]}`,
-		n, args[1], m.address(n+".peer"), m.bind(n), m.address(n+".caller"), m.address(n+".local"),
-		m.address("store"), ts.Getenv("RELAYS"), strings.Join(peers, ", "))
-	m.dataCenters[n] = args[1]
-	check(ts, m.link(n))
-	f := filepath.Join(m.dir, n+".json")
-	check(ts, os.WriteFile(f, []byte(s), 0o600))
-	check(ts, m.start(n, "dragonflydoor", "node", "--settings", f))
-	check(ts, eventually(stepBound, func() error {
-		_, err := m.dump(n)
-		return err
-	}))
+		node, dataCenter, m.address(node+".peer"), m.bind(node), m.address(node+".caller"), m.address(node+".local"),
+		m.address("store"), relays, strings.Join(peers, ", "))
+	m.dataCenters[node] = dataCenter
+	if err := m.link(node); err != nil {
+		return "", err
+	}
+	f := filepath.Join(m.dir, node+".json")
+	return f, os.WriteFile(f, []byte(s), 0o600)
 }
 
 // targetCommand starts a target: target NAME NODE SERVICE, and waits until
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -152,19 +153,49 @@
 	return nil
 }
 
-// runs reads the journals of all targets, dead ones too.
+// runs reads the journals of all targets, dead ones too, and counts the runs of
+// each request.
 func (m *mesh) runs(ts *testscript.TestScript) map[string]int {
+	j, err := m.journals()
+	check(ts, err)
 	r := make(map[string]int)
+	for _, l := range j {
+		for _, e := range l {
+			r[e.request]++
+		}
+	}
+	return r
+}
+
+// execution is one run of a request by a target.
+type execution struct {
+	request string
+	at      time.Time
+}
+
+// journals reads what each life of each target ran, by the name of its log.
+func (m *mesh) journals() (map[string][]execution, error) {
 	l, err := filepath.Glob(filepath.Join(m.dir, "t*.log"))
-	check(ts, err)
+	if err != nil {
+		return nil, err
+	}
+	j := make(map[string][]execution)
 	for _, f := range l {
 		b, err := os.ReadFile(f)
-		check(ts, err)
+		if err != nil {
+			return nil, err
+		}
 		for s := range strings.Lines(string(b)) {
-			if id, ok := strings.CutPrefix(strings.TrimSpace(s), "run "); ok {
-				r[id]++
+			w := strings.Fields(s)
+			if len(w) != 3 || w[0] != "run" {
+				continue
+			}
+			n, err := strconv.ParseInt(w[2], 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", f, err)
 			}
+			j[filepath.Base(f)] = append(j[filepath.Base(f)], execution{request: w[1], at: time.UnixMilli(n)})
 		}
 	}
-	return r
+	return j, nil
 }
--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -64,9 +64,9 @@
 
 type meshKey struct{}
 
-func setup(e *testscript.Env) error {
+func newMesh(dir string) *mesh {
 	m := &mesh{
-		dir:         e.WorkDir,
+		dir:         dir,
 		processes:   make(map[string]*process),
 		ports:       make(map[string]int),
 		links:       make(map[string]*imitator.Link),
@@ -74,6 +74,11 @@
 		background:  make(map[string]chan string),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
+	return m
+}
+
+func setup(e *testscript.Env) error {
+	m := newMesh(e.WorkDir)
 	e.Values[meshKey{}] = m
 	e.Defer(m.killAll)
 	e.Setenv("DRAGONFLYDOOR_STORE", m.address("store"))
