--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -259,6 +259,7 @@
 // While it lingers, the node still takes requests: callers learn of the stop
 // from its answers and from where it says whether it is ready.
 func (n *Node) drain(abort <-chan struct{}) {
+	begun := time.Now()
 	l := n.live.Load()
 	klog.InfoS("Node is stopping", "node", n.settings.Node, "linger", l.Linger, "bound", l.StopBound)
 	ctx, cancel := context.WithTimeout(context.Background(), l.StopBound)
@@ -284,7 +285,25 @@
 	}
 	n.finish(ctx)
 	cancel()
-	n.group.Wait()
+	n.awaitLoops(time.Until(begun.Add(l.StopBound)))
+}
+
+// awaitLoops waits until all loops have ended, at most for bound: a loop may
+// still wait for a store that does not answer.
+func (n *Node) awaitLoops(bound time.Duration) {
+	var g grouper.Group
+	ended := make(chan struct{})
+	g.Go(func() {
+		n.group.Wait()
+		close(ended)
+	})
+	t := time.NewTimer(bound)
+	defer t.Stop()
+	select {
+	case <-ended:
+	case <-t.C:
+		klog.InfoS("Stopping without waiting any longer", "node", n.settings.Node)
+	}
 }
 
 // finish closes the listeners once nothing is in flight on them.
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -131,13 +131,20 @@
 	}
 }
 
-// exitedCommand waits until a process has exited with a code: exited NAME CODE.
+// exitedCommand waits until a process has exited with a code: exited NAME CODE
+// [BOUND].
 func exitedCommand(ts *testscript.TestScript, _ bool, args []string) {
 	p := meshOf(ts).processes[args[0]]
+	d := stepBound
+	if len(args) > 2 {
+		var err error
+		d, err = time.ParseDuration(args[2])
+		check(ts, err)
+	}
 	select {
 	case <-p.done:
-	case <-time.After(stepBound):
-		ts.Fatalf("%s still runs", args[0])
+	case <-time.After(d):
+		ts.Fatalf("%s still runs after %s", args[0], d)
 	}
 	if c := p.command.ProcessState.ExitCode(); strconv.Itoa(c) != args[1] {
 		ts.Fatalf("%s exited with %d, expected %s", args[0], c, args[1])
