--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -261,6 +261,15 @@
 	return max(told, float64(r.outstanding))
 }
 
+// Busy reports whether a target is known to have no free slot: it has shed a call
+// just now, or told that others wait.
+func (b *Balancer) Busy(address string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[address]
+	return r != nil && (now.Before(r.full) || (r.load.Waiting > 0 && now.Sub(r.loadAt) < fullPenalty))
+}
+
 // Start notes that a call to e begins. The returned function takes its end.
 func (b *Balancer) Start(e gossiper.Endpoint, now time.Time) func(Outcome, time.Time) {
 	b.mu.Lock()
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -137,3 +137,30 @@
 		})
 	}
 }
+
+func TestBusyTargetsAreKnownForAWhile(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := gossiper.Endpoint{Target: gossiper.Target{Address: "a", Slots: 2}}
+	tests := []struct {
+		name string
+		see  func(b *Balancer)
+		want bool
+	}{
+		{"nothing is known", func(*Balancer) {}, false},
+		{"a call was shed", func(b *Balancer) { b.Start(p, now)(Shed, now) }, true},
+		{"others wait", func(b *Balancer) { b.Learn("a", "c", gatekeeper.Load{Running: 2, Waiting: 1, Slots: 2}, now) }, true},
+		{"nobody waits", func(b *Balancer) { b.Learn("a", "c", gatekeeper.Load{Running: 2, Slots: 2}, now) }, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var b Balancer
+			c.see(&b)
+			if g := b.Busy("a", now.Add(fullPenalty/2)); g != c.want {
+				t.Errorf("busy: %v, want %v", g, c.want)
+			}
+			if b.Busy("a", now.Add(fullPenalty)) {
+				t.Error("busy for good")
+			}
+		})
+	}
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// maxPlacements bounds the gates that are asked to take one attempt, and
-	// eagerPlacements those that are asked for a slot that is free right now.
-	maxPlacements   = 4
-	eagerPlacements = 2
+	// eagerPlacements bounds the gates that are asked for a slot that is free right
+	// now, and maxQueuedPlacements those that are asked for a place in their queue.
+	eagerPlacements     = 2
+	maxQueuedPlacements = 2
 	// settleBound is how long a lost attempt may take to be settled: a few
 	// round trips, and a new connection.
 	settleBound = 400 * time.Millisecond
@@ -113,15 +113,22 @@
 }
 
 // place offers the request to one gate after another until one takes it: first
-// for a slot that is free now, then for a place in a queue.
+// for a slot that is free now, if any seems to have one, then for a place in a
+// queue.
 func (e *Entry) place(j *job) (*answer, error) {
 	var refusal error
-	for n := 0; n < maxPlacements; n++ {
+	eager, queued := 0, 0
+	for queued < maxQueuedPlacements {
 		p, more := e.pick(j)
 		if p.Address == "" {
 			break
 		}
-		a, err := e.attempt(j, p, n < eagerPlacements && more)
+		immediate := eager < eagerPlacements && queued == 0 && more && !e.balancer.Busy(p.Address, time.Now())
+		if !immediate && queued == 0 {
+			// Whoever had no free slot may have a place in the queue.
+			clear(j.refused)
+		}
+		a, err := e.attempt(j, p, immediate)
 		if !notTaken(err) || judge.Is(err, errQuarantined) {
 			return a, err
 		}
@@ -129,9 +136,10 @@
 		if j.ctx.Err() != nil || !time.Now().Before(j.deadline.Add(-wayBack)) {
 			break
 		}
-		if n+1 == eagerPlacements {
-			// Whoever had no free slot may have a place in the queue.
-			clear(j.refused)
+		if immediate {
+			eager++
+		} else {
+			queued++
 		}
 	}
 	if refusal == nil {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/postponer"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
+	"github.com/dragonflydoor/dragonflydoor/internal/throttler"
 )
 
 const (
@@ -50,6 +51,7 @@
 	patience   patience
 	outages    outages
 	arbiter    arbiter.Arbiter
+	throttler  throttler.Throttler
 	// stopping closes callers' connections after each answer, refusing takes
 	// no more requests.
 	stopping atomic.Bool
@@ -180,14 +182,20 @@
 	}
 }
 
-// serve runs a request unless more urgent ones need its targets.
+// serve runs a request unless more urgent ones need its targets, or these have
+// just refused another one like it.
 func (e *Entry) serve(j *job) (*answer, error) {
 	k := j.kind()
+	like := throttler.Kind{Service: j.service.Name, Class: j.route.Name, Returning: j.elapsed > 0}
 	if !j.nested {
 		if s, ok := e.arbiter.Allow(k, j.arrived); !ok {
 			e.arbiter.Note(k, s, j.arrived)
 			return nil, judge.Error(judge.Overloaded, judge.NotRun, "service %q refuses requests that are more urgent than those of route %q", s, j.route.Name)
 		}
+		if w, ok := e.throttler.Allow(like, j.arrived); !ok {
+			e.arbiter.Note(k, j.service.Name, j.arrived)
+			return nil, judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "service %q has just refused a request of route %q", j.service.Name, j.route.Name), w)
+		}
 	}
 	a, err := e.runKeyed(j)
 	refused := judge.Is(err, judge.Overloaded) && !judge.Is(err, errRejected)
@@ -196,6 +204,8 @@
 	case j.nested:
 	case refused:
 		e.arbiter.Note(k, j.service.Name, time.Now())
+		w, _ := judge.WaitOf(err)
+		e.throttler.Refuse(like, w, time.Now())
 	default:
 		e.arbiter.Note(k, "", time.Now())
 	}
--- a/internal/judge/verdict.go
+++ b/internal/judge/verdict.go
@@ -44,7 +44,9 @@
 }
 
 var (
-	namespace = errorx.NewNamespace("dragonflydoor")
+	// Errors here are ordinary outcomes of calls, and thousands a second in an
+	// overload, so that their stacks are not collected.
+	namespace = errorx.NewNamespace("dragonflydoor").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 	verdictProperty = errorx.RegisterPrintableProperty("verdict")
 	waitProperty    = errorx.RegisterPrintableProperty("wait")
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -15,6 +15,7 @@
 
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/limiter"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// queuedLines is how many lines may wait for the reader of the log.
 	queuedLines  = 4096
 	reportPeriod = 10 * time.Second
+	// gatherPeriod is how long lines are gathered into one write: a tenth of what
+	// a reader of the log would notice.
+	gatherPeriod = 50 * time.Millisecond
 )
 
 // Lines writes bounded lines about requests. Its zero value writes nothing.
@@ -109,14 +113,16 @@
 
 func (w *Writer) pass(ctx context.Context, out io.Writer) {
 	reported := time.Now()
-	for {
+	var block bytes.Buffer
+	for ctx.Err() == nil {
 		select {
 		case b := <-w.lines:
-			_, _ = out.Write(b)
+			block.Write(b)
+			sleeper.Sleep(ctx, gatherPeriod)
 		case <-ctx.Done():
-			w.drain(out)
-			return
 		}
+		w.drain(&block)
+		_, _ = block.WriteTo(out)
 		if n := w.dropped.Load(); n > 0 && time.Since(reported) > reportPeriod {
 			reported = time.Now()
 			klog.InfoS("Log lines were dropped", "total", n)
