--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -24,6 +24,7 @@
 	}
 	stop := startLog(e, s.Verbosity)
 	defer stop()
+	tuneMemory(s)
 	n, err := runner.New(s, platformSurroundings())
 	if err != nil {
 		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -84,6 +84,9 @@
 	// LinkMbps is the rate of the VM's link, in megabits a second; zero when it
 	// is not known.
 	LinkMbps float64
+	// MemoryMB is the memory of the VM, in megabytes of 2^20 bytes; zero when it
+	// is not known.
+	MemoryMB float64
 	// AnnouncementTTL is how long a target's announcement holds.
 	AnnouncementTTL time.Duration
 	// RetryPercent and RetrySlack bound the retries that all nodes together make
