Give each sidecar of the scenarios an IP number of its own

Cause: platform and stop_bound ran at once with nodes of the same IP number, and the port of the metrics is fixed, so that the second could not start. It failed once so, in the first run of both.

--- a/scenarios/platform_test.go
+++ b/scenarios/platform_test.go
@@ -7,10 +7,15 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// nextHost is shared by all scripts, which run at once: the port of the metrics is
+// always the same, so that no two sidecars can have one IP number.
+var nextHost atomic.Int32
+
 // sidecarCommand starts a node on the platform's interface, on a loopback
 // address of its own: sidecar NAME ZONE SERVICE SERVER. It writes the settings
 // anew when the node runs already, and leaves it to the node to notice.
@@ -21,7 +26,8 @@
 		m.hosts = make(map[string]string)
 	}
 	if m.hosts[n] == "" {
-		m.hosts[n] = fmt.Sprintf("127.0.7.%d", len(m.hosts)+1)
+		h := nextHost.Add(1)
+		m.hosts[n] = fmt.Sprintf("127.0.%d.%d", 7+h/250, 1+h%250)
 	}
 	_, port, _ := net.SplitHostPort(m.address("sidecars"))
 	first, _ := strconv.Atoi(port)
