--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
+	"github.com/dragonflydoor/dragonflydoor/internal/pacer"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 )
@@ -46,7 +47,7 @@
 	dialect   Dialect
 	ledger    ledger
 	working   workload
-	uplink    uplink
+	uplink    pacer.Uplink
 }
 
 // NewGate returns the gate of the targets in r, which reports crashes to w.
@@ -63,8 +64,8 @@
 // LimitUplink bounds what is promised to other nodes by the rate of the link
 // that carries it and all of traffic, a count of bytes.
 func (g *Gate) LimitUplink(bytesPerSecond float64, traffic func() uint64) {
-	g.uplink.bytesPerSecond = bytesPerSecond
-	g.uplink.traffic = traffic
+	g.uplink.BytesPerSecond = bytesPerSecond
+	g.uplink.Traffic = traffic
 }
 
 // Sweep closes connections that have been idle for too long.
@@ -300,12 +301,12 @@
 		return
 	default:
 	}
-	room, err := g.uplink.reserve(c.class, c.objective, g.load(c).Duration)
+	room, err := g.uplink.Reserve(c.class, c.objective, g.load(c).Duration)
 	if err != nil {
 		refuseToNode(w, err, g.load(c))
 		return
 	}
-	defer room.end()
+	defer room.End()
 	p := newPulse(w)
 	a, err := g.do(r.Context(), c)
 	p.stop()
@@ -315,13 +316,13 @@
 		return
 	}
 	if a.length >= 0 {
-		room.resize(a.length)
+		room.Resize(a.length)
 	}
 	h := w.Header()
 	copyHeader(h, a.header)
 	h.Set(g.dialect.Request, c.request)
 	h.Set(HopHeader, report{load: l, callees: g.working.callees(c.class, time.Now())}.format())
-	if err := a.write(g.uplink.pace(r.Context(), w, a.length)); err != nil {
+	if err := a.write(g.pace(r.Context(), w, a.length)); err != nil {
 		klog.InfoS("Answer to another node was cut short", "request", c.request, "target", c.target, "cause", err)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/forwarder/uplink_test.go
+++ b/internal/pacer/uplink_test.go
@@ -1,7 +1,6 @@
-package forwarder
+package pacer
 
 import (
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,22 +39,22 @@
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				u := uplink{bytesPerSecond: rate, sizes: c.sizes}
+				u := Uplink{BytesPerSecond: rate, sizes: c.sizes}
 				var mu sync.Mutex
 				var timely, late int
 				serve := func() {
 					begun := time.Now()
-					room := &reservation{link: &u}
+					room := &Reservation{link: &u}
 					if c.bounded {
 						var err error
-						if room, err = u.reserve("map", objective, work); err != nil {
+						if room, err = u.Reserve("map", objective, work); err != nil {
 							return
 						}
 					}
 					time.Sleep(work)
-					room.resize(size)
-					_, _ = u.pace(t.Context(), httptest.NewRecorder(), size).Write(make([]byte, size))
-					room.end()
+					room.Resize(size)
+					time.Sleep(u.Claim(size, time.Now()) + u.Duration(size))
+					room.End()
 					mu.Lock()
 					defer mu.Unlock()
 					if time.Since(begun) <= objective {
@@ -82,20 +81,20 @@
 // anyway: a timely one still finds room, a late one does not.
 func TestLateDownloadsLeaveRoom(t *testing.T) {
 	const size, rate = 280_000, 25e6 / 8
-	u := uplink{bytesPerSecond: rate, sizes: map[string]float64{"map": size}}
+	u := Uplink{BytesPerSecond: rate, sizes: map[string]float64{"map": size}}
 	n := 0
 	for range 20 {
-		if _, err := u.reserve("map", time.Millisecond, 0); err == nil {
+		if _, err := u.Reserve("map", time.Millisecond, 0); err == nil {
 			n++
 		}
 	}
 	if n == 0 || n > 2 {
 		t.Errorf("%d late answers were promised", n)
 	}
-	if _, err := u.reserve("map", 600*time.Millisecond, 0); err != nil {
+	if _, err := u.Reserve("map", 600*time.Millisecond, 0); err != nil {
 		t.Errorf("a timely one was refused: %v", err)
 	}
-	if _, err := u.reserve("map", time.Millisecond, 0); err == nil {
+	if _, err := u.Reserve("map", time.Millisecond, 0); err == nil {
 		t.Error("another late one was promised")
 	}
 }
@@ -115,21 +114,21 @@
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			u := uplink{bytesPerSecond: c.rate}
+			u := Uplink{BytesPerSecond: c.rate}
 			for _, k := range []struct {
 				class string
 				size  int64
 			}{{"map", size}, {"check", 500}} {
-				r, err := u.reserve(k.class, 0, 0)
+				r, err := u.Reserve(k.class, 0, 0)
 				if err != nil {
 					t.Fatal(err)
 				}
-				r.resize(k.size)
-				r.end()
+				r.Resize(k.size)
+				r.End()
 			}
-			var promised []*reservation
+			var promised []*Reservation
 			for range 100 {
-				if r, err := u.reserve("map", 0, 0); err == nil {
+				if r, err := u.Reserve("map", 0, 0); err == nil {
 					promised = append(promised, r)
 				} else if w, ok := judge.WaitOf(err); !ok || w <= 0 || judge.Of(err) != judge.NotRun {
 					t.Errorf("refused without saying for how long: %v", err)
@@ -138,13 +137,13 @@
 			if len(promised) != c.want {
 				t.Errorf("%d were promised, expected %d", len(promised), c.want)
 			}
-			if _, err := u.reserve("check", 0, 0); err != nil {
+			if _, err := u.Reserve("check", 0, 0); err != nil {
 				t.Errorf("a small answer was refused: %v", err)
 			}
 			for _, r := range promised {
-				r.end()
+				r.End()
 			}
-			if _, err := u.reserve("map", 0, 0); err != nil {
+			if _, err := u.Reserve("map", 0, 0); err != nil {
 				t.Errorf("the link is not free again: %v", err)
 			}
 		})
@@ -170,13 +169,13 @@
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			var moved uint64
-			u := uplink{bytesPerSecond: rate, traffic: func() uint64 { return moved }}
+			u := Uplink{BytesPerSecond: rate, Traffic: func() uint64 { return moved }}
 			now := time.Unix(1_800_000_000, 0)
-			if w := u.claim(100_000, now); w != 0 {
+			if w := u.Claim(100_000, now); w != 0 {
 				t.Errorf("an idle link is busy for %s", w)
 			}
 			moved += 100_000 + c.other
-			if w := u.claim(1, now.Add(c.after)); (w - c.want).Abs() > time.Millisecond {
+			if w := u.Claim(1, now.Add(c.after)); (w - c.want).Abs() > time.Millisecond {
 				t.Errorf("busy for %s, want %s", w, c.want)
 			}
 		})
