Do not count throttled requests as refused by a service

Cause: the arbiter took requests that the throttler had turned away for ones that a service had refused, and so turned less urgent ones away on their behalf.

--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -192,8 +192,8 @@
 			e.arbiter.Note(k, s, j.arrived)
 			return nil, judge.Error(judge.Overloaded, judge.NotRun, "service %q refuses requests that are more urgent than those of route %q", s, j.route.Name)
 		}
+		// No service was asked, so that the arbiter has nothing to note.
 		if w, ok := e.throttler.Allow(like, j.arrived); !ok {
-			e.arbiter.Note(k, j.service.Name, j.arrived)
 			return nil, judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "service %q has just refused a request of route %q", j.service.Name, j.route.Name), w)
 		}
 	}
--- a/internal/forwarder/entry_test.go
+++ b/internal/forwarder/entry_test.go
@@ -38,7 +38,10 @@
 			Name: "s", Timeout: 2 * time.Second, Limits: l,
 			Retry: router.RetryPolicy{MaxAttempts: 3, BudgetPercent: 20},
 		}},
-		Routes: []router.Route{{Name: "r", PathPrefix: "/", Destinations: []router.Destination{{Service: "s", Weight: 1}}}},
+		Routes: []router.Route{
+			{Name: "r", PathPrefix: "/", Priority: 1, Destinations: []router.Destination{{Service: "s", Weight: 1}}},
+			{Name: "t", PathPrefix: "/less-urgent/", Priority: 2, Destinations: []router.Destination{{Service: "s", Weight: 1}}},
+		},
 	}))
 	s := accepter.State{Generation: 1}.WithEntries([]accepter.Entry{{Profile: "p", Version: 1, Digest: p.Digest}})
 	if o, err := h.Offer(s, []*holder.Profile{p}); o != holder.Applied {
@@ -115,3 +118,42 @@
 		})
 	}
 }
+
+// TestThrottledRequestsDoNotCountAsRefused fills the only target for a moment
+// while urgent requests come. Only the first is refused by its gate, which is no
+// reason to turn away less urgent ones afterwards.
+func TestThrottledRequestsDoNotCountAsRefused(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+	}))
+	defer s.Close()
+	limits := router.Limits{Slots: 1, Connections: 4, Queue: 1, MaxBodyBytes: 1 << 10}
+	e, gate := newEntry(t, s.Listener.Addr().String(), limits)
+	request := func(path string) int {
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, nil))
+		return w.Code
+	}
+	if c := request("/urgent"); c != http.StatusOK {
+		t.Fatalf("status %d", c)
+	}
+	p, err := gate.Enter(t.Context(), gatekeeper.Ticket{Deadline: time.Now().Add(time.Minute)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := limits
+	closed.Queue = 0
+	gate.Limit(closed)
+	for range 8 {
+		if c := request("/urgent"); c != http.StatusServiceUnavailable {
+			t.Fatalf("status %d from a target that is full", c)
+		}
+	}
+	p.Leave(gatekeeper.Abandoned)
+	gate.Limit(limits)
+	for i := range 20 {
+		if c := request("/less-urgent/x"); c != http.StatusOK {
+			t.Fatalf("less urgent request %d got status %d", i, c)
+		}
+	}
+}
