Forget large answers that were given up when counting what else was sent

Cause: bytes that were claimed and never written hid as many of other traffic for good. Errors of renewing and giving back a lease are logged.

--- a/internal/pacer/uplink.go
+++ b/internal/pacer/uplink.go
@@ -123,17 +123,21 @@
 	if u.free.Before(u.claimed) {
 		u.free = u.claimed
 	}
+	var t uint64
 	if u.Traffic != nil {
-		// What was claimed and is not written yet is counted ahead.
-		if t := u.Traffic(); t > u.counted {
-			u.free = u.free.Add(u.Duration(float64(t - u.counted)))
-			u.counted = t
-		}
-		u.counted += uint64(n)
+		t = u.Traffic()
+	}
+	if t > u.counted {
+		u.free = u.free.Add(u.Duration(float64(t - u.counted)))
+		u.counted = t
 	}
-	if u.free.Before(now) {
+	if !u.free.After(now) {
 		u.free = now
+		// Whatever was claimed has been sent by now, or was given up.
+		u.counted = t
 	}
+	// What is claimed now is counted before it is written.
+	u.counted += uint64(n)
 	u.claimed = now
 	w := u.free.Sub(now)
 	u.free = u.free.Add(u.Duration(float64(n)))
--- a/internal/pacer/uplink_test.go
+++ b/internal/pacer/uplink_test.go
@@ -181,3 +181,18 @@
 		})
 	}
 }
+
+// TestAnswersThatWereGivenUpHideNoTraffic claims the link for an answer that is
+// never sent. Later traffic counts from its first byte.
+func TestAnswersThatWereGivenUpHideNoTraffic(t *testing.T) {
+	var sent uint64
+	u := Uplink{BytesPerSecond: 1e6 / usablePart, Traffic: func() uint64 { return sent }}
+	now := time.Unix(1_800_000_000, 0)
+	u.Claim(500_000, now)
+	now = now.Add(time.Second)
+	u.Claim(1, now)
+	sent = 100_000
+	if w := u.Claim(1, now); (w - 100*time.Millisecond).Abs() > time.Millisecond {
+		t.Errorf("busy for %s, want 100ms", w)
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -202,7 +202,9 @@
 		return false, err
 	}
 	if _, err := r.store.Put(ctx, k, []byte(s.PeerAddress), revision, id); err != nil {
-		_ = r.store.Revoke(ctx, id)
+		if e := r.store.Revoke(ctx, id); e != nil {
+			klog.V(1).InfoS("Giving the lease back failed, it will lapse", "slot", k, "cause", e)
+		}
 		return false, err
 	}
 	r.lease = id
@@ -292,10 +294,15 @@
 			klog.Warning(logPrefix + "The lease has lapsed.")
 			return
 		}
+		if err != nil {
+			klog.V(1).InfoS("Renewing the lease failed", "slot", r.slot, "cause", err)
+		}
 	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
-	_ = r.store.Revoke(c, r.lease)
+	if err := r.store.Revoke(c, r.lease); err != nil {
+		klog.V(1).InfoS("Giving the lease back failed, it will lapse", "slot", r.slot, "cause", err)
+	}
 }
 
 // introduce finds the relays of other data centres, now and then, so that
