--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -408,7 +408,7 @@
 			}
 			for _, o := range s.nodes {
 				if !strings.Contains(fmt.Sprint(d.Members), s.address("t"+o)) {
-					return fmt.Errorf("%s does not know t%s", n, o)
+					return fmt.Errorf("%s does not know t%s, its members are %+v", n, o, d.Members)
 				}
 			}
 			return nil
