--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -34,7 +34,6 @@
 	// node passes an update on; what that misses the comparison of tables finds.
 	retransmitFactor = 4
 	deadProbePeriods = 4
-	mismatchBound    = 3
 	hintDigestBytes  = 8
 )
 
@@ -95,10 +94,9 @@
 
 	rumorBudget *limiter.Bucket
 
-	held       Hint
-	best       Hint
-	mismatches int
-	differing  string
+	held        Hint
+	best        Hint
+	differences differences
 }
 
 // NewCore returns a core that is the author of self.
@@ -167,16 +165,17 @@
 
 // Differing returns a member whose table stayed different from this one's.
 func (c *Core) Differing() (Member, bool) {
-	if c.mismatches < mismatchBound {
+	n, ok := c.differences.member()
+	if !ok {
 		return Member{}, false
 	}
-	m, ok := c.table.get(c.differing)
+	m, ok := c.table.get(n)
 	return m, ok && m.Usable()
 }
 
 // Exchanged notes that tables were compared with another member.
 func (c *Core) Exchanged() {
-	c.mismatches = 0
+	c.differences.clear()
 }
 
 // Introduce returns a ping for an address that may belong to a member.
--- a/internal/gossiper/core_test.go
+++ b/internal/gossiper/core_test.go
@@ -17,16 +17,24 @@
 	lost func(from, to string) bool
 }
 
-func newFabric(n int) *fabric {
+func newFabric(n int) *fabric { return newIslands(n, n) }
+
+// newIslands returns n cores of which the first few know each other, and so do
+// the others.
+func newIslands(n, few int) *fabric {
 	f := &fabric{now: time.Unix(1_800_000_000, 0), cores: make(map[string]*Core), lost: func(string, string) bool { return false }}
 	for i := range n {
 		a := fmt.Sprintf("n%d", i)
 		m := Member{Node: a, PeerAddress: a, DataCenter: "amman-a", Incarnation: 1}
 		f.cores[a] = NewCore(m, rand.New(rand.NewPCG(1, uint64(i))), f.now)
 	}
-	for _, c := range f.cores {
-		if c.self.Node != "n0" {
-			f.send(c.self.Node, []Outgoing{c.Introduce("n0")})
+	for i := range n {
+		a, to := fmt.Sprintf("n%d", i), "n0"
+		if i >= few {
+			to = fmt.Sprintf("n%d", n-1)
+		}
+		if a != to {
+			f.send(a, []Outgoing{f.cores[a].Introduce(to)})
 		}
 	}
 	return f
@@ -107,6 +115,32 @@
 	}
 }
 
+// recoverBound is the users' bound on the recovery of a mesh.
+const recoverBound = 15 * time.Second
+
+// TestIslandsMeetThroughOneIntroduction starts two parts of a mesh that do not know
+// each other, as after all nodes and the store were away, and lets one member hear
+// of one of the other part. Most answers to a member's probes come from its own
+// part, whose tables are equal to its own.
+func TestIslandsMeetThroughOneIntroduction(t *testing.T) {
+	tests := []struct{ size, island int }{{5, 2}, {5, 1}, {12, 2}, {12, 5}}
+	for _, c := range tests {
+		t.Run(fmt.Sprintf("%d of %d", c.island, c.size), func(t *testing.T) {
+			f := newIslands(c.size, c.island)
+			f.run(3 * time.Second)
+			last := fmt.Sprintf("n%d", c.size-1)
+			f.send("n0", []Outgoing{f.cores["n0"].Introduce(last)})
+			f.run(recoverBound)
+			for i := range c.size {
+				a := fmt.Sprintf("n%d", i)
+				if n := f.see(a, Alive); n != c.size-1 {
+					t.Errorf("%d of %d know %s", n, c.size-1, a)
+				}
+			}
+		})
+	}
+}
+
 func TestSuspicionIsRefuted(t *testing.T) {
 	f := newFabric(8)
 	f.run(5 * time.Second)
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -4,6 +4,7 @@
 
 // Receive handles a packet that came from address.
 func (c *Core) Receive(address string, p Packet, now time.Time) []Outgoing {
+	_, known := c.table.get(p.From)
 	for _, m := range p.Members {
 		c.apply(m, true, now)
 	}
@@ -14,6 +15,9 @@
 		c.Strike(s, now)
 	}
 	c.hear(p)
+	if _, ok := c.table.get(p.From); ok && !known {
+		c.differences.meet(p.From)
+	}
 	switch p.Kind {
 	case Ping:
 		return []Outgoing{c.acknowledge(address, p)}
@@ -36,13 +40,8 @@
 		c.best = Hint{Generation: p.Generation, Address: m.PeerAddress}
 		copy(c.best.StateDigest[:], p.StateDigest)
 	}
-	if p.TableDigest == c.table.digest() {
-		c.mismatches = 0
-		return
-	}
-	if p.Kind == Ack {
-		c.mismatches++
-		c.differing = p.From
+	if equal := p.TableDigest == c.table.digest(); equal || p.Kind == Ack {
+		c.differences.note(p.From, equal)
 	}
 }
 
