--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -138,6 +138,8 @@
 		return err
 	}
 	p.command = exec.Command(args[0], args[1:]...)
+	// The race detector would hold up each exit for a second.
+	p.command.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
 	p.command.Stdout = f
 	p.command.Stderr = f
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
