--- a/internal/cli/reloader.go
+++ b/internal/cli/reloader.go
@@ -23,7 +23,8 @@
 func followSettings(ctx context.Context, path string, load func(data []byte) (configurer.Settings, error), apply func(configurer.Settings)) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	// Without a handler, SIGHUP would end the process in the middle of a stop.
+	defer signal.Ignore(syscall.SIGHUP)
 	t := time.NewTicker(settingsPeriod)
 	defer t.Stop()
 	held, err := os.ReadFile(path)
