Offer granted retries until their deadline only where gates are full

A request that may have run and whose retry was granted was offered until its deadline also where no target could be reached, so that its caller waited 5 s in vain.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -44,7 +44,7 @@
 	var failure *answer
 	for {
 		a, err := e.place(j)
-		if j.owed && notTaken(err) && e.pause(j) {
+		if j.owed && notTaken(err) && judge.Is(err, judge.Overloaded) && e.pause(j) {
 			continue
 		}
 		if err == nil && (a.status < http.StatusInternalServerError || !j.repeatable()) {
@@ -68,7 +68,8 @@
 
 // pause waits a moment before a request that may have run is offered again, and
 // reports whether there is time for it. Its retry has been charged, so it is
-// offered until its deadline rather than failed for want of a free slot.
+// offered until its deadline rather than failed for want of a free slot. Where no
+// target can be reached it fails at once.
 func (e *Entry) pause(j *job) bool {
 	clear(j.refused)
 	return time.Until(j.deadline) > 2*owedPause && sleeper.Sleep(j.ctx, owedPause)
