Name the bytes of calls once, simplify the first read, test retries without a target

Read again: the sum of two counters stood in four places, and the switch of the first read of the configuration said one case twice.

--- a/internal/forwarder/entry_test.go
+++ b/internal/forwarder/entry_test.go
@@ -157,3 +157,23 @@
 		}
 	}
 }
+
+// TestGrantedRetryFailsAtOnceWithoutATarget breaks off the first attempt after the
+// only target began to leave: nothing is gained by holding the caller until its
+// deadline.
+func TestGrantedRetryFailsAtOnceWithoutATarget(t *testing.T) {
+	var gate *gatekeeper.Gate
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		gate.Drain()
+		panic(http.ErrAbortHandler)
+	}))
+	defer s.Close()
+	var e *Entry
+	e, gate = newEntry(t, s.Listener.Addr().String(), router.Limits{Slots: 1, Connections: 4, Queue: 1, MaxBodyBytes: 1 << 10})
+	w := httptest.NewRecorder()
+	begun := time.Now()
+	e.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil))
+	if d := time.Since(begun); w.Code != http.StatusBadGateway || d > time.Second {
+		t.Errorf("status %d after %s, expected %d at once: %s", w.Code, d, http.StatusBadGateway, w.Body)
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -98,18 +98,16 @@
 			return
 		}
 		v, err := r.store.Get(ctx, r.key())
-		switch {
-		case err == nil:
-			err = r.take(ctx, v)
-		case judge.Is(err, judge.NotFound) && r.relayed():
+		if judge.Is(err, judge.NotFound) {
 			// The first configuration is yet to be written. The relays bring it, and
 			// a fleet that waits for it must not read the store all the while.
-			if !sleeper.Sleep(ctx, watchWait) {
+			if r.relayed() && !sleeper.Sleep(ctx, watchWait) {
 				return
 			}
 			continue
-		case judge.Is(err, judge.NotFound):
-			continue
+		}
+		if err == nil {
+			err = r.take(ctx, v)
 		}
 		if err != nil {
 			klog.V(1).InfoS("Reading the configuration failed", "key", r.key(), "cause", err)
--- a/internal/runner/dump.go
+++ b/internal/runner/dump.go
@@ -174,8 +174,8 @@
 	return trafficJSON{
 		ControlReceived: n.control.Received(),
 		ControlSent:     n.control.Sent(),
-		CallsReceived:   n.calls.Received() + n.targets.Received(),
-		CallsSent:       n.calls.Sent() + n.targets.Sent(),
+		CallsReceived:   n.callsReceived(),
+		CallsSent:       n.callsSent(),
 	}
 }
 
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -59,8 +59,8 @@
 	return []counter{
 		{"control_received", bytesUnit, "Control bytes read from sockets.", n.control.Received},
 		{"control_sent", bytesUnit, "Control bytes written to sockets.", n.control.Sent},
-		{"calls_received", bytesUnit, "Call bytes read from sockets.", func() uint64 { return n.calls.Received() + n.targets.Received() }},
-		{"calls_sent", bytesUnit, "Call bytes written to sockets.", func() uint64 { return n.calls.Sent() + n.targets.Sent() }},
+		{"calls_received", bytesUnit, "Call bytes read from sockets.", n.callsReceived},
+		{"calls_sent", bytesUnit, "Call bytes written to sockets.", n.callsSent},
 		{"requests", countUnit, "Requests from callers.", n.stats.Requests.Load},
 		{"retries", countUnit, "Calls made again.", n.stats.Retries.Load},
 		{"refused_not_run", countUnit, "Requests refused that have not run.", n.stats.NotRun.Load},
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -181,6 +181,18 @@
 	n.scrape = connector.NewServer(n.scraped)
 }
 
+// callsReceived returns the bytes of calls that were read, from other nodes and
+// from targets.
+func (n *Node) callsReceived() uint64 {
+	return n.calls.Received() + n.targets.Received()
+}
+
+// callsSent returns the bytes of calls that were written, to other nodes and to
+// targets.
+func (n *Node) callsSent() uint64 {
+	return n.calls.Sent() + n.targets.Sent()
+}
+
 // sent returns the bytes that the node has sent to other nodes and the store.
 func (n *Node) sent() uint64 {
 	return n.control.Sent() + n.calls.Sent()
