Bound the heads, interim answers and stray answers of an exchange

Cause: http.ReadResponse reads a head of any size. A status line, a header line or header lines without end made one exchange allocate 0.37 to 2.9 GB in the second until it was given up; answers below 200 and short answers to other requests were read without a bound on their number.

Change: a guard between socket and buffer allows 64 KB for a head, as for callers; 64 interim answers and then 20 a second (nodes send 8); 32 answers to others of together 1 MB, 1 s each. Past a bound the exchange fails as broken: the request may have run. Response.Drain reads away a short unwanted body for 50 ms at most.

Test: exchanger TestFloodsAreEndedInLittleMemory, 15 floods; without the guards 7 of them are red with 7 MB to 2.9 GB allocated, with them each stays under 4 MB. Trailers and chunk extensions are bounded by net/http already and stay green.

--- a/internal/exchanger/client.go
+++ b/internal/exchanger/client.go
@@ -26,8 +26,26 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// maxStrayBytes bounds an answer to another request that is read away.
+	// maxHeadBytes bounds the head of an answer: as much as nodes take from
+	// callers.
+	maxHeadBytes = 64 << 10
+	// maxHeads bounds the heads that are read until the answer is found; an
+	// answer takes an hour at most, with a sign of life every 120 ms.
+	maxHeads = 32_000
+	// interimPerSecond and interimBurst bound the answers below 200: nodes send
+	// about 8 a second, targets hardly any.
+	interimPerSecond = 20
+	interimBurst     = 64
+	// maxStrays and maxStrayBytes bound the answers to other requests that are
+	// read away before the one that is due, and skipBound how long each may take.
+	// A connection has one request at a time, so that one or two are usual.
+	maxStrays     = 32
 	maxStrayBytes = 1 << 20
+	skipBound     = time.Second
+	// drainBytes and drainBound are what a kept connection is worth: a new one
+	// takes about a millisecond.
+	drainBytes = 64 << 10
+	drainBound = 50 * time.Millisecond
 	// writeBound is how long the other side may refuse to read.
 	writeBound = 2 * time.Second
 )
@@ -61,10 +79,12 @@
 	Body   io.Reader
 	// Length is the length of the body, -1 for one sent in chunks.
 	Length int64
-	// IDHeader names the header of the answer that must hold ID; empty when the
-	// other side does not echo one.
+	// IDHeader names the header of the answer that holds ID; empty when answers
+	// are not compared.
 	IDHeader string
 	ID       string
+	// EchoOptional takes an answer without IDHeader for the one that is due.
+	EchoOptional bool
 	// Repeatable says that the request may be sent again.
 	Repeatable bool
 	// Patient says that silence is no reason to give up.
@@ -147,6 +167,7 @@
 type conn struct {
 	net.Conn
 
+	guard   *guard
 	address string
 	reader  *bufio.Reader
 	served  int
@@ -194,7 +215,8 @@
 	c.mu.Lock()
 	c.stats.Opened++
 	c.mu.Unlock()
-	return &conn{Conn: n, address: address, reader: bufio.NewReaderSize(n, readBufferBytes)}, nil
+	g := &guard{reader: n}
+	return &conn{Conn: n, guard: g, address: address, reader: bufio.NewReaderSize(g, readBufferBytes)}, nil
 }
 
 func (c *Client) usable(k *conn, repeatable bool, now time.Time) bool {
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -13,10 +13,16 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/limiter"
 )
 
-// errStray reports an answer that has no identifier although it should.
-var errStray = errors.New("the answer does not say which request it answers")
+var (
+	// errStray reports an answer that has no identifier although it should.
+	errStray = errors.New("the answer does not say which request it answers")
+	// errCrowded reports that too much lies before the answer.
+	errCrowded = errors.New("too many other answers lie before the one that is due")
+)
 
 // exchange is one request on one connection.
 type exchange struct {
@@ -29,6 +35,10 @@
 	sent bool
 	// odd says that something unexpected was seen on the connection.
 	odd bool
+	// strays counts the answers to others that were read away, and skipped their
+	// bytes.
+	strays  int
+	skipped int64
 }
 
 func (x *exchange) run() (*Response, error) {
@@ -143,15 +153,22 @@
 // lie before it on the connection are read away.
 func (x *exchange) read() (*http.Response, error) {
 	q := &http.Request{Method: x.request.Method}
-	for {
+	var interim *limiter.Bucket
+	for range maxHeads {
 		if s := x.client.options.Silence; s > 0 && !x.request.Patient {
 			_ = x.conn.SetReadDeadline(time.Now().Add(s))
 		}
-		r, err := http.ReadResponse(x.conn.reader, q)
+		r, err := x.head(q) //nolint:bodyclose // the caller closes the response
 		if err != nil {
 			return nil, err
 		}
 		if r.StatusCode < http.StatusOK {
+			if interim == nil {
+				interim = limiter.NewBucket(interimPerSecond, interimBurst)
+			}
+			if !interim.Take(time.Now()) {
+				return nil, errCrowded
+			}
 			continue
 		}
 		mine, err := x.mine(r)
@@ -162,6 +179,14 @@
 			return r, nil
 		}
 	}
+	return nil, errCrowded
+}
+
+// head reads the next head on the connection, whichever request it answers.
+func (x *exchange) head(q *http.Request) (*http.Response, error) {
+	x.conn.guard.limit(maxHeadBytes)
+	defer x.conn.guard.lift()
+	return http.ReadResponse(x.conn.reader, q)
 }
 
 // mine compares identifiers and reads away an answer to another request.
@@ -169,19 +194,35 @@
 	if x.request.IDHeader == "" {
 		return true, nil
 	}
-	switch id := r.Header.Get(x.request.IDHeader); id {
-	case x.request.ID:
+	switch id := r.Header.Get(x.request.IDHeader); {
+	case id == x.request.ID:
 		return true, nil
-	case "":
+	case id == "" && x.request.EchoOptional:
+		return true, nil
+	case id == "":
 		return false, errStray
 	default:
-		x.odd = true
-		n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBytes))
-		if err == nil && (n == maxStrayBytes || unframed(r)) {
-			err = fmt.Errorf("the answer to request %q lies before the one to %q", id, x.request.ID)
-		}
-		return false, err
+		return false, x.skip(r, id)
+	}
+}
+
+// skip reads away the answer r to request id, which lies before the one that is
+// due.
+func (x *exchange) skip(r *http.Response, id string) error {
+	x.odd = true
+	if x.strays++; x.strays > maxStrays {
+		return errCrowded
+	}
+	_ = x.conn.SetReadDeadline(time.Now().Add(skipBound))
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBytes-x.skipped))
+	x.skipped += n
+	if err == nil && (x.skipped >= maxStrayBytes || unframed(r)) {
+		err = fmt.Errorf("the answer to request %q lies before the one to %q", id, x.request.ID)
+	}
+	if err == nil {
+		err = x.conn.SetReadDeadline(time.Time{})
 	}
+	return err
 }
 
 // unframed reports whether the body of r ends with the connection.
@@ -230,6 +271,17 @@
 	return nil
 }
 
+// Drain reads the rest of a body that nobody wants, if it is short and arrives
+// soon, so that the connection can be used again, and closes it.
+func (r *Response) Drain() {
+	b, ok := r.Body.(*body)
+	if ok && r.Length <= drainBytes {
+		_ = b.exchange.conn.SetReadDeadline(time.Now().Add(drainBound))
+		_, _ = io.CopyN(io.Discard, b, drainBytes+1)
+	}
+	_ = r.Body.Close()
+}
+
 // finish keeps the connection unless anything odd was seen.
 func (x *exchange) finish(h http.Header) {
 	x.once.Do(func() {
