Bound streams by the deadline, compare identifiers on the own interface, ask doubtful nodes last

Causes and changes: - A stream over 1 MB ran on after the deadline as long as its caller read, and a caller who did not read held the target's slot for 30 s. The caller's deadline or the route's timeout now bounds the whole answer, on both hops. - A second copy of an answer that came when the next request was on its way was taken for that one's answer on the own interface, where targets need not echo identifiers. One that names another request is now read away. - The body of an answer by which the target rejects the request was awaited, up to the deadline.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -17,8 +17,11 @@
 	// holdBytes is the size up to which an answer is held until complete: above
 	// the largest downloads of the users' deployments, and small against the
 	// memory of a node.
-	holdBytes   = 1 << 20
-	streamBytes = 32 << 10
+	holdBytes = 1 << 20
+	// holdUnknownBytes is the same for answers that do not state their length: one
+	// that never ends takes this much on each node before it is streamed.
+	holdUnknownBytes = 256 << 10
+	streamBytes      = 32 << 10
 	// stallBound is how long a reader may take for one part of an answer.
 	stallBound = 30 * time.Second
 )
@@ -45,16 +48,18 @@
 		return a, nil
 	}
 	var b bytes.Buffer
-	if r.Length > 0 {
+	limit := int64(holdUnknownBytes)
+	if r.Length >= 0 {
+		limit = holdBytes
 		b.Grow(int(r.Length) + bytes.MinRead)
 	}
-	n, err := b.ReadFrom(io.LimitReader(r.Body, holdBytes))
+	n, err := b.ReadFrom(io.LimitReader(r.Body, limit))
 	a.held = b.Bytes()
 	if err != nil {
 		_ = r.Body.Close()
 		return nil, err
 	}
-	if n == holdBytes {
+	if n == limit {
 		a.rest = r.Body
 		return a, nil
 	}
@@ -95,16 +100,20 @@
 	return err
 }
 
-// write passes the answer on. An error means that it was cut short, which the
-// caller must be able to see.
-func (a *answer) write(w http.ResponseWriter) error {
+// write passes the answer on, and one that is streamed until end, unless that is
+// zero. An error means that it was cut short, which the caller must be able to see.
+func (a *answer) write(w http.ResponseWriter, end time.Time) error {
 	copyHeader(w.Header(), a.header)
 	if bodyAllowed(a.status) {
 		setLength(w.Header(), a.length)
 	}
 	w.WriteHeader(a.status)
 	c := http.NewResponseController(w)
-	_ = c.SetWriteDeadline(time.Now().Add(stallBound))
+	if a.rest == nil {
+		// An answer that is ready is delivered, also late.
+		end = time.Time{}
+	}
+	_ = c.SetWriteDeadline(stallUntil(end))
 	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
 	if _, err := w.Write(a.held); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return err
@@ -113,11 +122,20 @@
 		return nil
 	}
 	defer func() { _ = a.rest.Close() }()
-	return stream(w, a.rest)
+	return stream(w, a.rest, end)
+}
+
+// stallUntil is until when a reader may take one part of an answer.
+func stallUntil(end time.Time) time.Time {
+	t := time.Now().Add(stallBound)
+	if !end.IsZero() && end.Before(t) {
+		return end
+	}
+	return t
 }
 
-// stream copies in small parts and flushes each, in constant memory.
-func stream(w http.ResponseWriter, r io.Reader) error {
+// stream copies in small parts and flushes each, in constant memory, until end.
+func stream(w http.ResponseWriter, r io.Reader, end time.Time) error {
 	b, _ := buffers.Get().(*[streamBytes]byte)
 	defer buffers.Put(b)
 	c := http.NewResponseController(w)
@@ -125,7 +143,7 @@
 	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
 	for {
 		n, err := r.Read(b[:])
-		_ = c.SetWriteDeadline(time.Now().Add(stallBound))
+		_ = c.SetWriteDeadline(stallUntil(end))
 		if n > 0 {
 			if _, err := w.Write(b[:n]); err != nil {
 				return err
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -193,10 +193,18 @@
 		Tried:      tried,
 	}
 	for range len(j.profile.Services) {
-		l := e.outages.without(v.Service(j.service.Name))
+		all := v.Service(j.service.Name)
+		l := e.outages.without(all)
 		if p, ok = e.balancer.Pick(l, q, time.Now()); ok {
 			return p, len(l) > len(tried)+1, true
 		}
+		if len(l) < len(all) && !j.crowded {
+			// Those that can be reached have left. A node that could not be reached
+			// a moment ago may be back.
+			if p, ok = e.balancer.Pick(all, q, time.Now()); ok {
+				return p, false, true
+			}
+		}
 		s, found := j.profile.Service(j.service.Fallback)
 		if !found {
 			break
@@ -229,7 +237,9 @@
 	}
 	j.sends++
 	j.ran[p.Address] = true
-	release()
+	if !j.bounded {
+		release()
+	}
 	return a.closing(cancel), nil
 }
 
@@ -239,6 +249,7 @@
 		"verdict", judge.Of(err), "reason", reasonOf(err), "cause", messageOf(err), "left", time.Until(j.deadline).Round(time.Millisecond))
 	if notTaken(err) {
 		j.refused[p.Address] = true
+		j.crowded = j.crowded || judge.Is(err, judge.Overloaded)
 		return
 	}
 	j.sends++
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -44,7 +44,15 @@
 	return t
 }
 
-// exchange is the request to be sent for c. The answer must hold the request's
+// end is when the whole answer must have been passed on, or zero.
+func (c call) end() time.Time {
+	if c.bounded {
+		return c.deadline
+	}
+	return time.Time{}
+}
+
+// exchange is the request to be sent for c. The answer holds the request's
 // identifier in idHeader, unless that is empty.
 func (c call) exchange(idHeader string) *exchanger.Request {
 	return &exchanger.Request{
--- a/internal/forwarder/call_test.go
+++ b/internal/forwarder/call_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -157,16 +158,22 @@
 
 func TestSlotIsHeldUntilTheAnswerIsRead(t *testing.T) {
 	tests := []struct {
-		name  string
-		bytes int
-		held  int
+		name   string
+		bytes  int
+		stated bool
+		held   int
 	}{
-		{"an answer that is held whole has been read", holdBytes - 1, 0},
-		{"a large answer is still to be read", holdBytes + 1, 1},
+		{"an answer that is held whole has been read", holdBytes - 1, true, 0},
+		{"a large answer is still to be read", holdBytes + 1, true, 1},
+		{"an answer without length that is held whole has been read", holdUnknownBytes - 1, false, 0},
+		{"a large answer without length is still to be read", holdUnknownBytes + 1, false, 1},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c.stated {
+					w.Header().Set("Content-Length", strconv.Itoa(c.bytes))
+				}
 				_, _ = w.Write(make([]byte, c.bytes))
 			}))
 			defer s.Close()
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -107,7 +107,9 @@
 		cancel()
 		return a, err
 	}
-	release()
+	if !c.bounded {
+		release()
+	}
 	a.rest = &leavingBody{ReadCloser: a.rest, leave: p.Leave, cancel: cancel}
 	return a, nil
 }
@@ -193,7 +195,9 @@
 	defer g.working.begin(c.request, c.class, c.repeat)()
 	for n := 1; ; n++ {
 		c.header.Set(g.dialect.Deadline, formatLeft(c.deadline, time.Now()))
-		r, err := g.client.Do(ctx, c.target, c.exchange(g.echo()))
+		q := c.exchange(g.dialect.Request)
+		q.EchoOptional = !g.dialect.EchoesRequest
+		r, err := g.client.Do(ctx, c.target, q)
 		if err == nil {
 			return g.take(ctx, c, r)
 		}
@@ -206,13 +210,6 @@
 	}
 }
 
-func (g *Gate) echo() string {
-	if g.dialect.EchoesRequest {
-		return g.dialect.Request
-	}
-	return ""
-}
-
 // noteRefusal takes a target out that refuses connections.
 func (g *Gate) noteRefusal(c call, x *exchanger.Error) {
 	if x != nil && x.Refused && g.registrar.Lose(c.target) {
@@ -223,8 +220,7 @@
 // take checks an answer and reads it whole, unless it is large.
 func (g *Gate) take(ctx context.Context, c call, r *exchanger.Response) (*answer, error) {
 	if err := g.check(c, r); err != nil {
-		_, _ = io.CopyN(io.Discard, r.Body, holdBytes)
-		_ = r.Body.Close()
+		r.Drain()
 		return nil, err
 	}
 	a, err := hold(r, c.method)
@@ -322,7 +318,7 @@
 	copyHeader(h, a.header)
 	h.Set(g.dialect.Request, c.request)
 	h.Set(HopHeader, report{load: l, callees: g.working.callees(c.class, time.Now())}.format())
-	if err := a.write(g.pace(r.Context(), w, a.length)); err != nil {
+	if err := a.write(g.pace(r.Context(), w, a.length), c.end()); err != nil {
 		klog.InfoS("Answer to another node was cut short", "request", c.request, "target", c.target, "cause", err)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -41,7 +41,9 @@
 	repeatable bool
 	repeat     bool
 	// impatient says that the request is made again when its answer is overdue.
-	impatient   bool
+	impatient bool
+	// bounded says that the deadline bounds the whole answer, not only its start.
+	bounded     bool
 	fingerprint quarantiner.Fingerprint
 }
 
@@ -60,6 +62,7 @@
 	repeatableField  = "m"
 	repeatField      = "g"
 	impatientField   = "b"
+	boundedField     = "y"
 	fingerprintField = "h"
 )
 
@@ -73,7 +76,7 @@
 			v.Set(n, s)
 		}
 	}
-	for n, b := range map[string]bool{immediateField: h.immediate, nestedField: h.nested, repeatableField: h.repeatable, repeatField: h.repeat, impatientField: h.impatient} {
+	for n, b := range map[string]bool{immediateField: h.immediate, nestedField: h.nested, repeatableField: h.repeatable, repeatField: h.repeat, impatientField: h.impatient, boundedField: h.bounded} {
 		if b {
 			v.Set(n, "1")
 		}
@@ -108,6 +111,7 @@
 		repeatable:  v.Has(repeatableField),
 		repeat:      v.Has(repeatField),
 		impatient:   v.Has(impatientField),
+		bounded:     v.Has(boundedField),
 		fingerprint: parseFingerprint(v.Get(fingerprintField)),
 	}
 	h.priority, _ = strconv.Atoi(v.Get(priorityField))
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -30,6 +30,9 @@
 	service  router.Service
 	body     *body
 	deadline time.Time
+	// bounded says that deadline bounds the whole answer: the caller or the
+	// operator of the route has set it.
+	bounded bool
 	// elapsed is how long the caller is taken to have tried before.
 	elapsed time.Duration
 	// nested says that the target beside this node made the request on behalf
@@ -39,6 +42,8 @@
 	// those that may have run it.
 	refused map[string]bool
 	ran     map[string]bool
+	// crowded says that a gate refused the request for load.
+	crowded bool
 	// sends counts the attempts that may have reached a target.
 	sends int
 	// owed says that a retry was granted after an attempt that may have run.
@@ -134,10 +139,12 @@
 	d := j.service.Timeout
 	if j.route.Timeout > 0 {
 		d = j.route.Timeout
+		j.bounded = true
 	}
 	if l, ok := parseLeft(j.request.Header, e.dialect.Deadline); ok {
 		j.elapsed = e.patience.elapsed(j.route.Name, l)
 		d = min(d, l)
+		j.bounded = true
 	}
 	j.deadline = j.arrived.Add(min(d, maxCallDeadline))
 }
@@ -160,6 +167,14 @@
 	return j.route.Repeatable(j.request.Method)
 }
 
+// end is when the whole answer must have been passed on, or zero.
+func (j *job) end() time.Time {
+	if j.bounded {
+		return j.deadline
+	}
+	return time.Time{}
+}
+
 // left is the time until the deadline, 0 when there is none yet.
 func (j *job) left() time.Duration {
 	if j.deadline.IsZero() {
@@ -213,6 +228,7 @@
 			nested:      j.nested,
 			repeatable:  j.repeatable(),
 			repeat:      j.sends > 0,
+			bounded:     j.bounded,
 			fingerprint: j.print,
 		},
 		method:   r.Method,
--- a/internal/forwarder/keyed.go
+++ b/internal/forwarder/keyed.go
@@ -129,7 +129,7 @@
 		return
 	}
 	w.Header().Set(HopHeader, report{}.format())
-	if err := a.write(w); err != nil {
+	if err := a.write(w, c.end()); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/forwarder/parts_test.go
+++ b/internal/forwarder/parts_test.go
@@ -41,7 +41,7 @@
 func TestHopKeepsWhatItCarries(t *testing.T) {
 	tests := []hop{
 		{purpose: toGate, service: "s", target: "10.0.0.1:80", class: "r", priority: 2, objective: 400 * time.Millisecond, immediate: true, repeatable: true, fingerprint: 7},
-		{purpose: toHome, service: "s", profile: "p", nested: true, repeat: true, impatient: true},
+		{purpose: toHome, service: "s", profile: "p", nested: true, repeat: true, impatient: true, bounded: true},
 		{purpose: toSettle, attempt: "x.1"},
 		{purpose: toCheck},
 	}
