--- a/internal/forwarder/trouble_test.go
+++ b/internal/forwarder/trouble_test.go
@@ -184,7 +184,7 @@
 				ended <- struct{}{}
 			})
 			address, gate := twoNodes(t, echoDialect, target, remote)
-			client := &http.Client{Transport: &http.Transport{}}
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
 			begun := time.Now()
 			status, body, err := ask(t, client, address, http.MethodPost, "1", left)
 			if err == nil && status < http.StatusMultipleChoices {
@@ -274,7 +274,7 @@
 	base = inUse()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{}}
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
 	for i := range 20 {
 		go func() {
 			for k := 0; ctx.Err() == nil; k++ {
@@ -332,7 +332,7 @@
 		eachHop(t, c.name, true, func(t *testing.T, remote bool) {
 			target := rawTarget(t, lateCopies(c.dialect.Request, whole, c.late))
 			address, _ := twoNodes(t, c.dialect, target, remote)
-			client := &http.Client{Transport: &http.Transport{}}
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
 			served := 0
 			for i := range 20 {
 				id := "r" + strconv.Itoa(i)
@@ -422,7 +422,7 @@
 				_ = k.Close()
 			})
 			address, _ := twoNodes(t, echoDialect, target, remote)
-			client := &http.Client{Transport: &http.Transport{}}
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
 			n := len(c.answer("00"))
 			if c.closes {
 				n -= len("abcd")
@@ -466,7 +466,7 @@
 				_ = k.Close()
 			})
 			address, _ := twoNodes(t, echoDialect, target, remote)
-			client := &http.Client{Transport: &http.Transport{}}
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
 			status, _, err := ask(t, client, address, http.MethodPost, "1", time.Second)
 			if err != nil || (status != http.StatusBadGateway && status != http.StatusGatewayTimeout) {
 				t.Errorf("status %d, %v", status, err)
