Compress configurations between nodes

Change: whole bodies and deltas over 1,400 bytes travel as gzip streams, told by their magic number, with a bound on what they may become.

Test: syncer TestCompressionKeepsBodies, TestUnsoundCompressionIsRefused.

--- a/internal/syncer/answer.go
+++ b/internal/syncer/answer.go
@@ -59,11 +59,11 @@
 		d := encoder.Diff(base.Sealed, target.Sealed)
 		if d.Len() < len(target.Services)+len(target.Routes) {
 			b.BaseDigest = base.Digest[:]
-			b.Delta = encoder.EncodeDelta(d)
+			b.Delta = compress(encoder.EncodeDelta(d))
 			return b
 		}
 	}
-	b.Whole = encoder.EncodeProfile(target.Profile)
+	b.Whole = compress(encoder.EncodeProfile(target.Profile))
 	return b
 }
 
@@ -137,13 +137,21 @@
 		return nil, fmt.Errorf("syncer: body of %s: %w", b.GetProfile(), err)
 	}
 	if len(b.GetWhole()) > 0 {
-		return compile(encoder.Verify(b.GetWhole(), d))
+		w, err := decompress(b.GetWhole())
+		if err != nil {
+			return nil, err
+		}
+		return compile(encoder.Verify(w, d))
 	}
 	o := base.Profile(b.GetProfile())
 	if o == nil || string(o.Digest[:]) != string(b.GetBaseDigest()) {
 		return nil, fmt.Errorf("syncer: body of %s: the base of the delta is not held", b.GetProfile())
 	}
-	return compile(o.Sealed.Patch(b.GetDelta(), d))
+	w, err := decompress(b.GetDelta())
+	if err != nil {
+		return nil, err
+	}
+	return compile(o.Sealed.Patch(w, d))
 }
 
 func compile(s encoder.Sealed, err error) (*holder.Profile, error) {
