Count store calls by purpose, and make a first start cheap for the store

Every node looked for others at once, found nobody, competed for a relay's slot, and listed the relays anew whenever one was busy.

Change: dragonflydoor_store_calls counts by kind and purpose. Where the platform says that the whole system starts for the first time, nodes look for others in an order in which their number doubles, ask for listings that may be old (a tenth of the price), take the configuration of the peer that they joined through, and leave slots and first reads to the first ones for some seconds. Busy relays are asked again without a new listing. Relays look for others in old listings too, and trust only a current one that says that their slot is gone.

Restarts read the configuration at once, as before. Test: joiner TestStoreCallsOfAFirstStart (1 to 1,000 nodes), TestBusyPeersAreAskedAgain.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -116,7 +116,7 @@
 
 // collect asks every relay for the sums of its subtree.
 func collect(ctx context.Context, store string, generation uint64) (tally, error) {
-	l, err := newStore(store, &meter.Traffic{}).List(ctx, storer.RelayPrefix)
+	l, err := newStore(store, &meter.Traffic{}).List(ctx, storer.RelayPrefix, storer.Current)
 	if err != nil {
 		return tally{}, err
 	}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -77,6 +77,9 @@
 	// are not listened on.
 	ReadyAddress   string
 	MetricsAddress string
+	// FirstStart says that the whole mesh starts for the first time: there are no
+	// other nodes to be found yet, and no configuration.
+	FirstStart bool
 	// StopBound bounds a planned stop, and Linger is how long requests are still
 	// taken after it has begun.
 	StopBound time.Duration
--- a/internal/imitator/server.go
+++ b/internal/imitator/server.go
@@ -211,7 +211,7 @@
 }
 
 func (s *Server) list(r *http.Request) (any, error) {
-	l, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"))
+	l, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"), storer.Current)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/imitator/store.go
+++ b/internal/imitator/store.go
@@ -98,7 +98,7 @@
 }
 
 // List implements storer.Store.
-func (s *Store) List(_ context.Context, prefix string) ([]storer.Item, error) {
+func (s *Store) List(_ context.Context, prefix string, _ storer.Freshness) ([]storer.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
--- /dev/null
+++ b/internal/joiner/joiner_test.go
@@ -0,0 +1,113 @@
+package joiner
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/storer"
+)
+
+// lag is how old a recent answer of relayStore is.
+const lag = time.Second
+
+// relayStore lists the relays that have registered.
+type relayStore struct {
+	storer.Store
+
+	mu              sync.Mutex
+	items           []storer.Item
+	since           []time.Time
+	current, recent int
+}
+
+func (s *relayStore) List(_ context.Context, _ string, f storer.Freshness) ([]storer.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f == storer.Current {
+		s.current++
+		return slices.Clone(s.items), nil
+	}
+	s.recent++
+	n := 0
+	for n < len(s.since) && time.Since(s.since[n]) >= lag {
+		n++
+	}
+	return slices.Clone(s.items[:n]), nil
+}
+
+func (s *relayStore) register(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items = append(s.items, storer.Item{Key: storer.RelayPrefix + address, Value: storer.Value{Data: []byte(address)}})
+	s.since = append(s.since, time.Now())
+}
+
+// busyPeers are busy for a while.
+type busyPeers struct{ until time.Time }
+
+func (p busyPeers) Exchange(context.Context, string, bool) (bool, error) {
+	return !time.Now().Before(p.until), nil
+}
+
+// TestStoreCallsOfAFirstStart starts meshes of several sizes for the first time.
+// Nodes that find nobody register as relays. What the store is asked must not
+// grow with the mesh, but for the listings that cost a tenth.
+func TestStoreCallsOfAFirstStart(t *testing.T) {
+	const maxCurrent = 40
+	for _, n := range []int{1, 13, 88, 300, 1000} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &relayStore{}
+				var g sync.WaitGroup
+				joined := 0
+				var mu sync.Mutex
+				for i := range n {
+					g.Go(func() {
+						a := strconv.Itoa(i)
+						j := New(busyPeers{}, s, a, nil)
+						j.FirstStart = true
+						if j.Join(t.Context()) == "" {
+							s.register(a)
+							return
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						joined++
+					})
+				}
+				begun := time.Now()
+				g.Wait()
+				if d := time.Since(begun); d > firstSpread+time.Second {
+					t.Errorf("all had joined after %s", d)
+				}
+				if s.current > maxCurrent || s.recent > n+maxCurrent {
+					t.Errorf("the store was asked for %d current and %d recent listings", s.current, s.recent)
+				}
+				if len(s.items) == 0 || joined+len(s.items) != n {
+					t.Errorf("%d joined and %d found nobody", joined, len(s.items))
+				}
+			})
+		})
+	}
+}
+
+// TestBusyPeersAreAskedAgain has relays that are busy for a while, as when many
+// nodes join at once. The store need not be asked again for them.
+func TestBusyPeersAreAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &relayStore{}
+		s.register("r")
+		time.Sleep(2 * lag)
+		if New(busyPeers{until: time.Now().Add(5 * time.Second)}, s, "n", nil).Join(t.Context()) != "r" {
+			t.Error("the node has not joined")
+		}
+		if s.current+s.recent != 1 {
+			t.Errorf("the store was asked %d times", s.current+s.recent)
+		}
+	})
+}
--- a/internal/meter/instruments.go
+++ b/internal/meter/instruments.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
@@ -40,6 +41,24 @@
 	return err
 }
 
+// LabelledCounter registers values that only grow, each with its labels.
+func (i *Instruments) LabelledCounter(name, unit, description string, values func(yield func(value uint64, labels map[string]string))) error {
+	_, err := i.meter.Int64ObservableCounter(name,
+		metric.WithUnit(unit),
+		metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			values(func(v uint64, labels map[string]string) {
+				var l []attribute.KeyValue
+				for k, s := range labels {
+					l = append(l, attribute.String(k, s))
+				}
+				o.Observe(int64(v), metric.WithAttributes(l...))
+			})
+			return nil
+		}))
+	return err
+}
+
 // Gauge registers a value that goes up and down.
 func (i *Instruments) Gauge(name, unit, description string, value func() int64) error {
 	_, err := i.meter.Int64ObservableGauge(name,
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		p.drop(ctx, storer.BodyKey(c.Profile, v.Digest.String()))
-		l, _ := p.store.List(ctx, storer.DeltaPrefix(c.Profile, v.Digest.String()))
+		l, _ := p.store.List(ctx, storer.DeltaPrefix(c.Profile, v.Digest.String()), storer.Current)
 		for _, i := range l {
 			p.drop(ctx, i.Key)
 		}
@@ -243,7 +243,7 @@
 
 // Catalogs reads the catalog of every profile.
 func (p *Publisher) Catalogs(ctx context.Context) ([]accepter.Catalog, error) {
-	l, err := p.store.List(ctx, storer.CatalogPrefix)
+	l, err := p.store.List(ctx, storer.CatalogPrefix, storer.Current)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -40,6 +40,9 @@
 	// a herd that returns does not read the store all at once.
 	bootstrapBackoff = 100 * time.Millisecond
 	maxBackoff       = 5 * time.Second
+	// firstStartWait is how long nodes that start for the first time leave the
+	// store to the relays: by then all of them have joined.
+	firstStartWait = 6 * time.Second
 
 	// callsPerSecond and callBurst are a node's budget of store calls.
 	callsPerSecond = 10
@@ -55,6 +58,10 @@
 	budget   *limiter.Bucket
 	document *Document
 
+	// FirstStart says that the whole mesh starts for the first time, so that there
+	// is no configuration yet.
+	FirstStart bool
+
 	// lease and slot are what this node holds while it is a relay.
 	lease     storer.LeaseID
 	slot      string
@@ -92,6 +99,10 @@
 // node that starts must not wait for relays: after a power cut there are none,
 // and their slots are taken until the leases of their earlier lives lapse.
 func (r *Relayer) Bootstrap(ctx context.Context) {
+	ctx = storer.WithPurpose(ctx, storer.ForFirstConfiguration)
+	if r.FirstStart && !sleeper.Sleep(ctx, firstStartWait) {
+		return
+	}
 	b := sleeper.Backoff{First: bootstrapBackoff, Max: maxBackoff}
 	for r.holder.Current() == nil && b.Sleep(ctx) {
 		if r.holder.Current() != nil {
@@ -183,8 +194,9 @@
 
 // acquire takes a free slot under a new lease.
 func (r *Relayer) acquire(ctx context.Context) (bool, error) {
+	ctx = storer.WithPurpose(ctx, storer.ForElection)
 	s := r.gossiper.Self()
-	l, err := r.list(ctx, s.DataCenter)
+	l, err := r.list(ctx, s.DataCenter, storer.Current)
 	if err != nil {
 		return false, err
 	}
@@ -231,7 +243,7 @@
 
 // list reads the relays of one data centre, or of all when it is empty, and
 // introduces this node to them.
-func (r *Relayer) list(ctx context.Context, dataCenter string) ([]storer.Item, error) {
+func (r *Relayer) list(ctx context.Context, dataCenter string, f storer.Freshness) ([]storer.Item, error) {
 	if err := r.spend(); err != nil {
 		return nil, err
 	}
@@ -239,7 +251,7 @@
 	if dataCenter != "" {
 		p += dataCenter + "/"
 	}
-	l, err := r.store.List(ctx, p)
+	l, err := r.store.List(ctx, p, f)
 	if err != nil {
 		return nil, err
 	}
@@ -286,6 +298,7 @@
 // renew keeps the lease alive and returns once it has lapsed. While the store
 // does not answer, the node goes on: its children need a root all the same.
 func (r *Relayer) renew(ctx context.Context) {
+	ctx = storer.WithPurpose(ctx, storer.ForLease)
 	for sleeper.Sleep(ctx, renewPeriod) {
 		err := r.store.KeepAlive(ctx, r.lease)
 		if judge.Is(err, judge.NotFound) {
@@ -307,8 +320,15 @@
 // parts of the mesh that lost each other meet again. It returns once the store
 // has lost this relay's slot, as when it went back to older data.
 func (r *Relayer) introduce(ctx context.Context) {
+	ctx = storer.WithPurpose(ctx, storer.ForIntroduction)
+	f := storer.Current
 	for {
-		l, err := r.list(ctx, "")
+		l, err := r.list(ctx, "", f)
+		if err == nil && !r.owns(l) && f == storer.Recent {
+			// An old answer may lack a slot that was taken since.
+			l, err = r.list(ctx, "", storer.Current)
+		}
+		f = storer.Recent
 		if err != nil {
 			klog.V(1).Infof(logPrefix+"Listing relays failed: %v", err)
 		} else if !r.owns(l) {
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -16,6 +16,7 @@
 
 // watch waits for changes of the configuration in the store and applies them.
 func (r *Relayer) watch(ctx context.Context) {
+	ctx = storer.WithPurpose(ctx, storer.ForWatch)
 	var held storer.Value
 	known := false
 	b := sleeper.Backoff{First: minBackoff, Max: maxBackoff}
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -45,6 +45,7 @@
 	for _, g := range n.gauges() {
 		err = errors.Join(err, i.Gauge("dragonflydoor_"+g.name, g.unit, g.text, g.value))
 	}
+	err = errors.Join(err, i.LabelledCounter("dragonflydoor_store_calls", countUnit, "Calls of the store.", n.countStoreCalls))
 	h, e := i.Histogram("dragonflydoor_request_duration", secondsUnit, "Time from the arrival of a request to its answer.", durationBounds)
 	if e == nil {
 		n.stats.Observe = func(d time.Duration) { h(d.Seconds()) }
@@ -76,6 +77,12 @@
 	}
 }
 
+func (n *Node) countStoreCalls(yield func(value uint64, labels map[string]string)) {
+	for c, v := range n.storeCalls.Counts() {
+		yield(v, map[string]string{"kind": c.Kind, "purpose": string(c.Purpose)})
+	}
+}
+
 func (n *Node) gauges() []gauge {
 	return []gauge{
 		{"generation", countUnit, "Generation in force.", func() int64 { return int64(n.holder.Current().Generation()) }},
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -36,6 +36,9 @@
 	bytesPerMegabit = 1e6 / 8
 	// drainGrace lets callers and nodes hear of a stop before listeners close.
 	drainGrace = time.Second
+	// firstElection is how long a node that joined a mesh which starts for the first
+	// time leaves the relays' slots to others: some rounds of gossip.
+	firstElection = 3 * time.Second
 )
 
 // Node is one process of the mesh.
@@ -52,6 +55,8 @@
 	lines   *logger.Lines
 	around  Surroundings
 	store   *storeSwitch
+	// storeCalls counts the calls of the store by kind and purpose.
+	storeCalls storer.Counter
 
 	holder     holder.Holder
 	tallier    syncer.Tallier
@@ -94,7 +99,7 @@
 	n := &Node{settings: s, around: around, started: time.Now(), lines: logger.NewLines()}
 	n.live.Store(&s)
 	n.registrar.TTL = s.AnnouncementTTL
-	store := newSwitch(around.Store(s.StoreAddress, &n.control))
+	store := newSwitch(n.storeCalls.Count(around.Store(s.StoreAddress, &n.control)))
 	n.store = store
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -147,12 +152,14 @@
 	d := connector.NewDialer(connector.NewTransport(&n.control, n.settings.PeerBindAddress))
 	n.reconciler = gossiper.NewReconciler(n.gossiper, d.Dial)
 	n.joiner = joiner.New(n.reconciler, store, n.settings.PeerAddress, n.settings.Peers)
+	n.joiner.FirstStart = n.settings.FirstStart
 	n.server = syncer.NewServer(&n.holder, &n.tallier, n.settings.FanOut)
 	n.puller = syncer.NewPuller(&n.holder, n.gossiper, d.Dial, &n.tallier, n.settings.FanOut)
 }
 
 func (n *Node) buildDistribution(store storer.Store) {
 	n.relayer = relayer.New(store, &n.holder, n.gossiper, n.settings.RelaysPerDataCenter, n.around.Document)
+	n.relayer.FirstStart = n.settings.FirstStart
 }
 
 func (n *Node) buildCalls() {
@@ -242,11 +249,18 @@
 // join enters the mesh before the node competes for a relay's slot, so that it
 // knows the relays that there are.
 func (n *Node) join(ctx context.Context) {
-	ok := n.joiner.Join(ctx)
-	n.relayer.Start(ctx, &n.group)
-	if !ok {
+	a := n.joiner.Join(ctx)
+	if a == "" {
+		n.relayer.Start(ctx, &n.group)
 		n.joiner.Retry(ctx)
+		return
+	}
+	n.puller.Fetch(ctx, a)
+	if n.settings.FirstStart {
+		// Those that found nobody are relays by now, but that is not known yet.
+		sleeper.Sleep(ctx, firstElection)
 	}
+	n.relayer.Start(ctx, &n.group)
 }
 
 // expire removes targets that stopped announcing themselves.
--- a/internal/runner/reload.go
+++ b/internal/runner/reload.go
@@ -19,7 +19,7 @@
 	changed := differing(*o, s)
 	klog.InfoS("Settings read again", "node", n.settings.Node, "changed", changed, "waitingForRestart", differing(n.fixed(s), n.fixed(n.settings)))
 	if o.StoreAddress != s.StoreAddress {
-		n.store.use(n.around.Store(s.StoreAddress, &n.control))
+		n.store.use(n.storeCalls.Count(n.around.Store(s.StoreAddress, &n.control)))
 	}
 	n.entry.Beside(s.Service)
 }
@@ -77,8 +77,8 @@
 }
 
 // List implements storer.Store.
-func (w *storeSwitch) List(ctx context.Context, prefix string) ([]storer.Item, error) {
-	return w.now().List(ctx, prefix)
+func (w *storeSwitch) List(ctx context.Context, prefix string, f storer.Freshness) ([]storer.Item, error) {
+	return w.now().List(ctx, prefix, f)
 }
 
 // Watch implements storer.Store.
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -30,6 +30,16 @@
 // LeaseID identifies a lease. The zero value stands for no lease.
 type LeaseID uint64
 
+// Freshness says how current an answer must be.
+type Freshness uint8
+
+const (
+	// Current answers hold what was written before the question.
+	Current Freshness = iota
+	// Recent answers may be some seconds old. They cost the service a tenth.
+	Recent
+)
+
 // Store is a small key-value service with compare-and-swap, leases and
 // waiting watches.
 //
@@ -45,7 +55,7 @@
 	// Delete removes a key if its revision is still the given one.
 	Delete(ctx context.Context, key string, revision uint64) error
 	// List reads every key with a prefix, in order.
-	List(ctx context.Context, prefix string) ([]Item, error)
+	List(ctx context.Context, prefix string, f Freshness) ([]Item, error)
 	// Watch waits until a key changes after held was read and returns its
 	// value, or held as of now and false once the wait is over.
 	Watch(ctx context.Context, key string, held Value, wait time.Duration) (Value, bool, error)
--- a/internal/syncer/puller.go
+++ b/internal/syncer/puller.go
@@ -253,12 +253,17 @@
 	if time.Since(p.behind) < hintGrace {
 		return
 	}
+	p.Fetch(ctx, h.Address)
+	p.behind = time.Now()
+}
+
+// Fetch takes the configuration of the node at address, if it has a newer one.
+func (p *Puller) Fetch(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpBound)
 	defer cancel()
-	if err := p.poll(ctx, h.Address, 0); err != nil {
-		klog.V(1).Infof(logPrefix+"Catching up from %s failed: %v", h.Address, err)
+	if err := p.poll(ctx, address, 0); err != nil {
+		klog.V(1).Infof(logPrefix+"Fetching from %s failed: %v", address, err)
 	}
-	p.behind = time.Now()
 }
 
 // announce tells the membership protocol and the log of each generation.
