Check deadlines where a call is handed over, also after a pause

Cause: the deadline of a call was watched by timers only. After a process stood still, a call whose deadline had passed could reach its target before the timer ran; where the VM was suspended the timer came late by the whole suspension, as the runtime's clock does not count it.

Change: entry and gate compare the deadline before each hand-over, less what the VM was suspended since it was set (CLOCK_BOOTTIME, asked only when the time of day has run away from the runtime's clock). Such a call has not run, and says so.

--- /dev/null
+++ b/internal/connector/accepting_test.go
@@ -0,0 +1,63 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// slowListener takes a moment for each connection, as a busy process does.
+type slowListener struct{ *net.TCPListener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(time.Millisecond)
+	return l.TCPListener.Accept()
+}
+
+// TestStopAnswersWhatHasArrived stops a server while connections with requests wait
+// to be accepted. None of them is reset.
+func TestStopAnswersWhatHasArrived(t *testing.T) {
+	const callers = 20
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, ok := n.(*net.TCPListener)
+	if !ok {
+		t.Fatalf("listener of type %T", n)
+	}
+	s := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	var conns []net.Conn
+	for range callers {
+		c, err := net.Dial("tcp", n.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		conns = append(conns, c)
+	}
+	var g sync.WaitGroup
+	g.Go(func() {
+		if err := s.Serve(KeepHeads(AcceptAll(slowListener{k}))); !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	})
+	// Some of them have been accepted by then.
+	time.Sleep(callers / 4 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	s.Stop(ctx)
+	g.Wait()
+	for i, c := range conns {
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		if b, err := io.ReadAll(c); err != nil || len(b) == 0 {
+			t.Errorf("caller %d of %d got %d bytes, %v", i, callers, len(b), err)
+		}
+	}
+}
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -53,24 +53,6 @@
 	}
 }
 
-// NewServer returns a server for h that speaks HTTP/1.1 and unencrypted
-// HTTP/2.
-func NewServer(h http.Handler) *http.Server {
-	var p http.Protocols
-	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           h,
-		Protocols:         &p,
-		ReadHeaderTimeout: headerBound,
-		IdleTimeout:       idleBound,
-		MaxHeaderBytes:    maxHeaderBytes,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
-		ConnContext:       withConn,
-		ConnState:         trackState,
-	}
-}
-
 // source returns the IP number of an address with any port, or nil.
 func source(address string) net.Addr {
 	h, _, err := net.SplitHostPort(address)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -279,6 +279,9 @@
 }
 
 func (e *Entry) sendRemote(ctx context.Context, c call, p gossiper.Endpoint) (*answer, error) {
+	if err := c.unexpired(); err != nil {
+		return nil, err
+	}
 	c.header.Set(HopHeader, c.format())
 	c.header.Set(e.dialect.Deadline, formatLeft(c.deadline, time.Now()))
 	q := c.exchange(e.dialect.Request)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 // call is one attempt of a request, addressed to one target.
@@ -25,10 +26,23 @@
 	length   int64
 	request  string
 	deadline time.Time
+	// mark is when deadline was set.
+	mark sleeper.Mark
 	// kind is known at the entry only.
 	kind arbiter.Kind
 }
 
+// unexpired fails once the deadline has passed, also where the process or its VM
+// stood still since the call was made: the timers that watch the deadline may not
+// have run yet, and those of a VM that was suspended are late.
+func (c call) unexpired() error {
+	now := time.Now()
+	if now.Before(c.deadline) && now.Add(c.mark.Suspended()).Before(c.deadline) {
+		return nil
+	}
+	return judge.Error(judge.TimedOut, judge.NotRun, "the deadline passed before the call was handed over")
+}
+
 // ticket is what the gate of the target is told.
 func (c call) ticket() gatekeeper.Ticket {
 	t := gatekeeper.Ticket{
--- /dev/null
+++ b/internal/forwarder/deadline_test.go
@@ -0,0 +1,58 @@
+package forwarder
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/connector"
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/meter"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
+)
+
+// TestPausedProcessesDoNotUseAnOldDeadline hands calls over whose deadline passed
+// while the process, or its VM, stood still. Timers that watch the deadline have not
+// run yet. No target sees them, and their callers may come back.
+func TestPausedProcessesDoNotUseAnOldDeadline(t *testing.T) {
+	now := time.Now()
+	total := sleeper.NoteSuspension()
+	tests := []struct {
+		name     string
+		deadline time.Time
+		mark     sleeper.Mark
+		runs     int32
+	}{
+		{"in time", now.Add(time.Minute), sleeper.MarkOf(now, now, total), 1},
+		{"the process was paused", now.Add(-time.Second), sleeper.MarkOf(now, now, total), 0},
+		{"the VM was suspended", now.Add(5 * time.Second), sleeper.MarkOf(now, now.Add(-10*time.Second), total-10*time.Second), 0},
+		{"the time of day jumped", now.Add(5 * time.Second), sleeper.MarkOf(now, now.Add(-time.Hour), total), 1},
+	}
+	for _, c := range tests {
+		for _, remote := range []bool{false, true} {
+			t.Run(c.name, func(t *testing.T) {
+				var runs atomic.Int32
+				s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+				defer s.Close()
+				a := s.Listener.Addr().String()
+				e, _ := newEntry(t, a, troubleLimits)
+				p := gossiper.Endpoint{Node: "n", PeerAddress: "127.0.0.1:1"}
+				if remote {
+					h := httptest.NewServer(e.gate)
+					defer h.Close()
+					p = gossiper.Endpoint{Node: "other", PeerAddress: h.Listener.Addr().String()}
+					e.peers = connector.NewPeers(&meter.Traffic{}, "")
+				}
+				k := newCall(a, http.MethodPost, "x", false)
+				k.deadline, k.mark = c.deadline, c.mark
+				_, err := e.send(t.Context(), k, p)
+				if runs.Load() != c.runs || (c.runs == 0 && (judge.Of(err) != judge.NotRun || !judge.Is(err, judge.TimedOut))) {
+					t.Errorf("%d runs, %v", runs.Load(), err)
+				}
+			})
+		}
+	}
+}
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/pacer"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 const (
@@ -194,6 +195,9 @@
 	}
 	defer g.working.begin(c.request, c.class, c.repeat)()
 	for n := 1; ; n++ {
+		if err := c.unexpired(); err != nil {
+			return nil, err
+		}
 		c.header.Set(g.dialect.Deadline, formatLeft(c.deadline, time.Now()))
 		q := c.exchange(g.dialect.Request)
 		q.EchoOptional = !g.dialect.EchoesRequest
@@ -351,6 +355,7 @@
 		length:   r.ContentLength,
 		request:  r.Header.Get(g.dialect.Request),
 		deadline: time.Now().Add(defaultDeadline),
+		mark:     sleeper.NewMark(),
 	}
 	if d, ok := parseLeft(r.Header, g.dialect.Deadline); ok {
 		c.deadline = time.Now().Add(d)
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
+	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
 // job is one request on its way through the entry.
@@ -30,6 +31,8 @@
 	service  router.Service
 	body     *body
 	deadline time.Time
+	// mark is when deadline was set.
+	mark sleeper.Mark
 	// bounded says that deadline bounds the whole answer: the caller or the
 	// operator of the route has set it.
 	bounded bool
@@ -147,6 +150,7 @@
 		j.bounded = true
 	}
 	j.deadline = j.arrived.Add(min(d, maxCallDeadline))
+	j.mark = sleeper.NewMark()
 }
 
 func (j *job) readBody(w http.ResponseWriter, origin string) (Refusal, bool) {
@@ -239,6 +243,7 @@
 		length:   j.body.length,
 		request:  j.id,
 		deadline: j.deadline,
+		mark:     j.mark,
 		kind:     j.kind(),
 	}
 	if j.route.Objective > 0 {
--- a/internal/forwarder/trouble_test.go
+++ b/internal/forwarder/trouble_test.go
@@ -88,7 +88,7 @@
 	e.gate.dialect = d
 	if remote {
 		p := httptest.NewUnstartedServer(e.gate)
-		p.Config = connector.NewServer(e.gate)
+		p.Config = connector.NewServer(e.gate).Server
 		p.Start()
 		t.Cleanup(p.Close)
 		m := gossiper.Member{Node: "other", PeerAddress: p.Listener.Addr().String(), Targets: []gossiper.Target{{Service: "s", Address: target, Slots: 4}}}
@@ -97,7 +97,7 @@
 		e.peers = connector.NewPeers(&traffic, "")
 	}
 	s := httptest.NewUnstartedServer(e)
-	s.Config = connector.NewServer(e)
+	s.Config = connector.NewServer(e).Server
 	s.Start()
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String(), g
