Remember targets that left over a restart of their node

Cause: a node that was restarted while its target was leaving knew nothing of it. A late heartbeat or a health answer, which may be wrong, put the target in use again; a departure that came before the target's first heartbeat was forgotten.

Change: the record of a draining target names its life. Other nodes keep the record, and a node that joins is given that of its earlier life before its new one replaces it. Lives that left stay in the node's record for 2 minutes, so that two restarts in a row do not lose them. A node asks its target who it is only after it has looked for others, at most 0.5 s. A departure of an unknown life holds for 10 s. A life that seems to have begun earlier replaces one that fell silent or refused connections: the time of day may have gone back between the two.

--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -94,6 +94,11 @@
 
 	rumorBudget *limiter.Bucket
 
+	// first is the incarnation with which this life of the node began, and former
+	// the newest record of an earlier one that somebody remembered.
+	first  uint64
+	former Member
+
 	held        Hint
 	best        Hint
 	differences differences
@@ -103,6 +108,7 @@
 func NewCore(self Member, r *rand.Rand, now time.Time) *Core {
 	c := &Core{
 		self:        self,
+		first:       self.Incarnation,
 		rand:        r,
 		quarantine:  &quarantiner.Quarantine{},
 		rumorBudget: limiter.NewBucket(rumorBytesPerS, rumorBurst),
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -153,14 +153,20 @@
 
 // Serve answers the comparison that another node started.
 func (r *Reconciler) Serve(q *messenger.ExchangeRequest) *messenger.ExchangeResponse {
+	if q.GetJoining() {
+		// What an earlier life of the node said goes to it before it is replaced.
+		a := r.whole()
+		if !a.GetBusy() {
+			r.take(q.GetNode(), q.GetMembers())
+		}
+		return a
+	}
 	r.take(q.GetNode(), q.GetMembers())
 	switch {
 	case len(q.GetBuckets()) == BucketCount:
 		return r.summarize(q.GetBuckets())
 	case len(q.GetWanted()) > 0:
 		return r.records(q.GetWanted())
-	case q.GetJoining():
-		return r.whole()
 	}
 	return &messenger.ExchangeResponse{}
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -119,6 +119,14 @@
 	return g.core.quarantine
 }
 
+// Former returns the targets that an earlier life of this node told of last, as far
+// as anybody has told.
+func (g *Gossiper) Former() []Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.former.Targets
+}
+
 // Strike takes in a strike and spreads it. The gates of service are told at
 // once: a caller may send the request again before rumors have come round.
 func (g *Gossiper) Strike(service string, s quarantiner.Strike) {
--- a/internal/gossiper/member.go
+++ b/internal/gossiper/member.go
@@ -54,6 +54,9 @@
 	Draining    bool
 	Slots       int
 	Connections int
+	// Instance and Born name the life of a draining target.
+	Instance string
+	Born     int64
 }
 
 // Member is the record of one node. It is immutable.
@@ -101,7 +104,7 @@
 	m.Targets = slices.Clone(l)
 	m.Homes = slices.Clone(m.Homes)
 	for _, t := range l {
-		if !slices.Contains(m.Homes, t.Service) {
+		if !t.Draining && !slices.Contains(m.Homes, t.Service) {
 			m.Homes = append(m.Homes, t.Service)
 		}
 	}
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -173,6 +173,8 @@
 		Address:     t.Address,
 		Slots:       uint32(t.Slots),
 		Connections: uint32(t.Connections),
+		Instance:    t.Instance,
+		Born:        t.Born,
 	}
 	if t.Draining {
 		w.State = drainingState
@@ -187,6 +189,8 @@
 		Draining:    w.GetState() == drainingState,
 		Slots:       int(w.GetSlots()),
 		Connections: int(w.GetConnections()),
+		Instance:    w.GetInstance(),
+		Born:        w.GetBorn(),
 	}
 }
 
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -93,12 +93,22 @@
 // apply takes in a record that somebody else sent.
 func (c *Core) apply(m Member, spread bool, now time.Time) {
 	if m.Node == c.self.Node {
+		c.remember(m)
 		c.refute(m.Incarnation, m.Condition, now)
 		return
 	}
 	c.accept(c.soften(m), spread, now)
 }
 
+// remember keeps the newest record that an earlier life of this node left behind.
+// It has a lower incarnation, or a higher one where the time of day went back.
+func (c *Core) remember(m Member) {
+	earlier := m.Incarnation < c.first || m.Incarnation > c.self.Incarnation
+	if earlier && m.Incarnation >= c.former.Incarnation {
+		c.former = m
+	}
+}
+
 // bury takes in what somebody else believes of a member that is known here.
 func (c *Core) bury(t Tombstone, spread bool, now time.Time) {
 	n, ok := c.table.byHash[t.NodeHash]
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -3,6 +3,7 @@
 package registrar
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +20,14 @@
 	// departureRetention is how long a life that has left is remembered, so
 	// that its late announcements do not bring it back.
 	departureRetention = 2 * time.Minute
+	// unknownRetention is the same for a life of which only the name is known:
+	// longer than an announcement may be on its way, and short, since another life
+	// may come back under that name.
+	unknownRetention = 10 * time.Second
+	// silentShare of the TTL, as a divisor, is how long a target may be silent until
+	// one whose life seems to have begun earlier may take its place. The time of
+	// day may have gone back between the two.
+	silentShare = 3
 )
 
 // Announcement is what a target says of itself.
@@ -78,8 +87,21 @@
 
 // departure is the end of a life.
 type departure struct {
-	born int64
-	at   time.Time
+	// target has no service where only the life's name is known.
+	target gossiper.Target
+	at     time.Time
+}
+
+func (d departure) over(now time.Time) bool {
+	if d.target.Service == "" {
+		return now.Sub(d.at) > unknownRetention
+	}
+	return now.Sub(d.at) > departureRetention
+}
+
+// covers reports whether an announcement comes from the life that has ended.
+func (d departure) covers(a Announcement, now time.Time) bool {
+	return !d.over(now) && (d.target.Service == "" || a.Born <= d.target.Born)
 }
 
 // Registrar holds the targets of one node. Its zero value holds none.
@@ -99,7 +121,7 @@
 func (r *Registrar) Announce(a Announcement, l router.Limits, now time.Time) Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.late(a) {
+	if r.late(a, now) {
 		return Stale
 	}
 	o, ok := r.targets[a.Address]
@@ -111,8 +133,8 @@
 
 // late reports whether a comes from a life that has ended, or was overtaken
 // by a later announcement.
-func (r *Registrar) late(a Announcement) bool {
-	if d, ok := r.departed[a.Instance]; ok && a.Born <= d.born {
+func (r *Registrar) late(a Announcement, now time.Time) bool {
+	if d, ok := r.departed[a.Instance]; ok && d.covers(a, now) {
 		return true
 	}
 	o, ok := r.targets[a.Address]
@@ -120,11 +142,16 @@
 		return false
 	}
 	if a.Born != o.Born {
-		return a.Born < o.Born && !a.Probed
+		return a.Born < o.Born && !a.Probed && !r.silent(o, now)
 	}
 	return a.Instance != "" && a.Instance == o.Instance && a.Sequence <= o.Sequence
 }
 
+// silent reports whether a target has refused connections or missed announcements.
+func (r *Registrar) silent(t *Target, now time.Time) bool {
+	return t.Down || t.Until.Sub(now) < r.ttl()-r.ttl()/silentShare
+}
+
 func (t *Target) sameLife(a Announcement) bool {
 	return t.Service == a.Service && t.Instance == a.Instance && (t.Born == a.Born || t.Probed)
 }
@@ -183,13 +210,18 @@
 
 // record returns what other nodes are told of a target.
 func record(a Announcement) gossiper.Target {
-	return gossiper.Target{
+	t := gossiper.Target{
 		Service:     a.Service,
 		Address:     a.Address,
 		Draining:    a.Draining,
 		Slots:       a.Slots,
 		Connections: a.Connections,
 	}
+	if a.Draining {
+		t.Instance = a.Instance
+		t.Born = a.Born
+	}
+	return t
 }
 
 func (t *Target) record() gossiper.Target {
@@ -243,7 +275,9 @@
 		if t.Instance != instance {
 			continue
 		}
-		r.remember(t.Announcement, now)
+		a := t.Announcement
+		a.Draining = true
+		r.remember(record(a), now)
 		t.Gate.Drain()
 		if !t.Draining {
 			t.Draining = true
@@ -251,19 +285,44 @@
 		}
 		return true
 	}
+	r.remember(gossiper.Target{Instance: instance}, now)
 	return false
 }
 
-func (r *Registrar) remember(a Announcement, now time.Time) {
+// Recall takes in what others remember of the targets that an earlier life of this
+// node knew: those that were leaving are not used again.
+func (r *Registrar) Recall(former []gossiper.Target, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for _, f := range former {
+		if !f.Draining || f.Instance == "" {
+			continue
+		}
+		r.remember(f, now)
+		changed = true
+		for _, t := range r.targets {
+			if t.Instance == f.Instance && (t.Born <= f.Born || t.Probed) {
+				t.Draining = true
+				t.Gate.Drain()
+			}
+		}
+	}
+	if changed {
+		r.notify()
+	}
+}
+
+func (r *Registrar) remember(t gossiper.Target, now time.Time) {
 	if r.departed == nil {
 		r.departed = make(map[string]departure)
 	}
 	for n, d := range r.departed {
-		if now.Sub(d.at) > departureRetention {
+		if d.over(now) {
 			delete(r.departed, n)
 		}
 	}
-	r.departed[a.Instance] = departure{born: a.Born, at: now}
+	r.departed[t.Instance] = departure{target: t, at: now}
 }
 
 // Lose notes that the target at address refused a connection. It gets no new
@@ -326,10 +385,18 @@
 		return
 	}
 	l := make([]gossiper.Target, 0, len(r.targets))
+	known := make(map[string]bool)
 	for _, t := range r.list() {
+		known[t.Instance] = true
 		if !t.Down {
 			l = append(l, t.record())
 		}
 	}
+	// Others remember what has left, should this node be restarted.
+	for _, n := range slices.Sorted(maps.Keys(r.departed)) {
+		if d := r.departed[n]; !known[n] && d.target.Service != "" {
+			l = append(l, d.target)
+		}
+	}
 	r.Changed(l)
 }
--- a/internal/runner/identify.go
+++ b/internal/runner/identify.go
@@ -15,6 +15,9 @@
 	identifyPeriod = 250 * time.Millisecond
 	identifyTries  = 8
 	defaultProbed  = 8
+	// recallBound is how long a node that starts waits for others before it asks the
+	// target: a join takes a few round trips, unless nobody is left.
+	recallBound = 500 * time.Millisecond
 )
 
 // identify asks the target beside the node who it is when the node starts, so
@@ -24,6 +27,7 @@
 	if l.TargetAddress == "" || n.around.Dialect.Self == "" {
 		return
 	}
+	n.awaitJoin(ctx)
 	for range identifyTries {
 		if !sleeper.Sleep(ctx, identifyPeriod/5) {
 			return
@@ -43,6 +47,16 @@
 	}
 }
 
+// awaitJoin leaves others a moment to tell which targets have left.
+func (n *Node) awaitJoin(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recallBound)
+	defer cancel()
+	select {
+	case <-n.joined:
+	case <-ctx.Done():
+	}
+}
+
 // probe registers the target as far as it tells, and reports whether it did.
 func (n *Node) probe(ctx context.Context, service, address string) bool {
 	p := n.holder.Current().Serving(n.entry.Profile())
