Answer what has arrived when a node stops

Cause, by test: http.Server.Shutdown closes a connection unanswered when it reads the request after it was called, and closing a listener resets the connections that the kernel had completed: of 20 callers 16 got nothing.

Change: a stopping server takes connections for 50 ms more, answers until no request is under way, and shuts down then. net/http must not be held up by Close: it keeps a lock that accepting needs.

Test: connector TestStopAnswersWhatHasArrived.

--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -73,11 +73,14 @@
 	scraped    http.Handler
 
 	sockets sockets
-	peer    *http.Server
-	caller  *http.Server
-	local   *http.Server
-	ready   *http.Server
-	scrape  *http.Server
+	peer    *connector.Server
+	caller  *connector.Server
+	local   *connector.Server
+	ready   *connector.Server
+	scrape  *connector.Server
+
+	// joined is closed once the node has looked for others.
+	joined chan struct{}
 
 	// stopping is done once a stop has begun.
 	stopping context.Context
@@ -96,7 +99,7 @@
 
 // New opens the sockets of a node and puts its parts together.
 func New(s configurer.Settings, around Surroundings) (*Node, error) {
-	n := &Node{settings: s, around: around, started: time.Now(), lines: logger.NewLines()}
+	n := &Node{settings: s, around: around, started: time.Now(), lines: logger.NewLines(), joined: make(chan struct{})}
 	n.live.Store(&s)
 	n.registrar.TTL = s.AnnouncementTTL
 	store := newSwitch(n.storeCalls.Count(around.Store(s.StoreAddress, &n.control)))
@@ -218,9 +221,9 @@
 }
 
 func (n *Node) serve() {
-	n.group.Go(func() { n.listenOn(n.peer, n.control.Listener(n.sockets.peer)) })
-	n.group.Go(func() { n.listenOn(n.caller, connector.KeepHeads(n.sockets.caller)) })
-	n.group.Go(func() { n.listenOn(n.local, n.sockets.local) })
+	n.group.Go(func() { n.listenOn(n.peer, n.control.Listener(connector.AcceptAll(n.sockets.peer))) })
+	n.group.Go(func() { n.listenOn(n.caller, connector.KeepHeads(connector.AcceptAll(n.sockets.caller))) })
+	n.group.Go(func() { n.listenOn(n.local, connector.AcceptAll(n.sockets.local)) })
 	if n.sockets.ready != nil && n.ready != nil {
 		n.group.Go(func() { n.listenOn(n.ready, n.sockets.ready) })
 	}
@@ -229,7 +232,7 @@
 	}
 }
 
-func (n *Node) listenOn(s *http.Server, l net.Listener) {
+func (n *Node) listenOn(s *connector.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		klog.Errorf(logPrefix+"Listener %s failed: %v", l.Addr(), err)
 	}
@@ -250,6 +253,8 @@
 // knows the relays that there are.
 func (n *Node) join(ctx context.Context) {
 	a := n.joiner.Join(ctx)
+	n.recall()
+	close(n.joined)
 	if a == "" {
 		n.relayer.Start(ctx, &n.group)
 		n.joiner.Retry(ctx)
@@ -263,6 +268,18 @@
 	n.relayer.Start(ctx, &n.group)
 }
 
+// recall keeps targets out of use that left an earlier life of this node.
+func (n *Node) recall() {
+	f := n.gossiper.Former()
+	if len(f) == 0 {
+		return
+	}
+	n.registrar.Recall(f, time.Now())
+	for _, t := range f {
+		klog.InfoS("Target of an earlier life of the node", "target", t.Address, "service", t.Service, "instance", t.Instance, "leaving", t.Draining)
+	}
+}
+
 // expire removes targets that stopped announcing themselves.
 func (n *Node) expire(ctx context.Context) {
 	t := time.NewTicker(expiryPeriod)
@@ -273,6 +290,7 @@
 			for _, g := range n.registrar.Expire(now) {
 				klog.InfoS("Target is silent and taken out", "target", g.Address, "service", g.Service, "instance", g.Instance)
 			}
+			sleeper.NoteSuspension()
 			n.gate.Sweep(now)
 			n.peers.Sweep(now)
 		case <-ctx.Done():
@@ -334,14 +352,14 @@
 
 // finish closes the listeners once nothing is in flight on them.
 func (n *Node) finish(ctx context.Context) {
-	shutdown(ctx, n.caller)
+	n.caller.Stop(ctx)
 	n.awaitIdle(ctx)
 	n.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithStatus(gossiper.Left) })
 	n.gossiper.Farewell()
 	n.stop()
-	for _, s := range []*http.Server{n.peer, n.local, n.ready, n.scrape} {
+	for _, s := range []*connector.Server{n.peer, n.local, n.ready, n.scrape} {
 		if s != nil {
-			shutdown(ctx, s)
+			s.Stop(ctx)
 		}
 	}
 }
@@ -355,9 +373,3 @@
 		}
 	}
 }
-
-func shutdown(ctx context.Context, s *http.Server) {
-	if s.Shutdown(ctx) != nil {
-		_ = s.Close()
-	}
-}
