--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -158,7 +158,7 @@
 		if s := x.client.options.Silence; s > 0 && !x.request.Patient {
 			_ = x.conn.SetReadDeadline(time.Now().Add(s))
 		}
-		r, err := x.head(q) //nolint:bodyclose // the caller closes the response
+		r, err := x.head(q)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -61,6 +61,8 @@
 	// FirstStart says that the whole mesh starts for the first time, so that there
 	// is no configuration yet.
 	FirstStart bool
+	// Stopping reports whether the node is about to stop, when set: it takes no slot.
+	Stopping func() bool
 
 	// lease and slot are what this node holds while it is a relay.
 	lease     storer.LeaseID
@@ -162,7 +164,7 @@
 	var since time.Time
 	for sleeper.Sleep(ctx, electionPeriod/2+rand.N(electionPeriod)) {
 		k, missing := r.rank()
-		if missing <= 0 || r.gossiper.Self().Status != gossiper.Serving {
+		if missing <= 0 || r.gossiper.Self().Status != gossiper.Serving || (r.Stopping != nil && r.Stopping()) {
 			since = time.Time{}
 			continue
 		}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -163,6 +163,7 @@
 func (n *Node) buildDistribution(store storer.Store) {
 	n.relayer = relayer.New(store, &n.holder, n.gossiper, n.settings.RelaysPerDataCenter, n.around.Document)
 	n.relayer.FirstStart = n.settings.FirstStart
+	n.relayer.Stopping = func() bool { return n.entry.Draining() }
 }
 
 func (n *Node) buildCalls() {
