Give targets the limits of the configuration when it comes

Cause: a target that announced itself before its node had a configuration kept the default of 12 slots for its whole life: the gate took new limits only when the announcement changed.

Change: limits are set with each announcement and when a configuration is applied.

Test: registrar TestLimitsFollowTheConfiguration, red before.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -191,8 +191,9 @@
 	if begins {
 		o.Gate.Drain()
 	}
+	// The configuration may have come, or changed, since the last announcement.
+	o.Gate.Limit(l)
 	if changed {
-		o.Gate.Limit(l)
 		r.notify()
 	}
 	if begins {
@@ -325,6 +326,13 @@
 	r.departed[t.Instance] = departure{target: t, at: now}
 }
 
+// Limit replaces the limits of every target by what limits returns for it.
+func (r *Registrar) Limit(limits func(Announcement) router.Limits) {
+	for _, t := range r.List() {
+		t.Gate.Limit(limits(t.Announcement))
+	}
+}
+
 // Lose notes that the target at address refused a connection. It gets no new
 // work until it is announced again.
 func (r *Registrar) Lose(address string) bool {
--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+// TestLimitsFollowTheConfiguration has a target announce itself before there is a
+// configuration, which allows it more slots.
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	few, many := router.Limits{Slots: 12}, router.Limits{Slots: 18}
+	tests := []struct {
+		name string
+		next func(r *Registrar)
+	}{
+		{"with the next announcement", func(r *Registrar) { r.Announce(life("a", 1, 2), many, start) }},
+		{"when the configuration comes", func(r *Registrar) { r.Limit(func(Announcement) router.Limits { return many }) }},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var r Registrar
+			r.Announce(life("a", 1, 1), few, start)
+			c.next(&r)
+			if n := r.List()[0].Gate.Load("").Slots; n != many.Slots {
+				t.Errorf("%d slots, want %d", n, many.Slots)
+			}
+		})
+	}
+}
+
 // TestTimeOfDayThatWentBack has a target start again on a VM whose time of day went
 // back, so that its new life seems to have begun before the earlier one.
 func TestTimeOfDayThatWentBack(t *testing.T) {
--- a/internal/runner/local.go
+++ b/internal/runner/local.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -75,6 +76,19 @@
 		"born", a.Born, "sequence", a.Sequence, "draining", a.Draining, "slots", a.Slots, "cold", a.Cold)
 }
 
+// limitTargets keeps the targets' limits those of the configuration in force.
+func (n *Node) limitTargets(ctx context.Context) {
+	var g uint64
+	for ctx.Err() == nil {
+		c := n.holder.Wait(ctx, g)
+		if c.Generation() <= g {
+			return
+		}
+		g = c.Generation()
+		n.registrar.Limit(n.limits)
+	}
+}
+
 // Announce takes the announcement of the target beside this node. One of a
 // service that the settings do not name is refused.
 func (n *Node) Announce(a registrar.Announcement) error {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -247,6 +247,7 @@
 	n.group.Loop(n.stopping, n.join)
 	n.group.Loop(n.stopping, n.relayer.Bootstrap)
 	n.group.Loop(n.stopping, n.identify)
+	n.group.Loop(n.stopping, n.limitTargets)
 	n.group.Loop(n.stopping, n.entry.Watch)
 }
 
