Collect garbage as often as the load allows

Cause: every node let its heap grow to four times what it used, also where it was collected every half minute: peak 60 MB on calm nodes.

Change: start with the runtime's default; a node that collects more than once in 2 s doubles what may gather, up to the former bound, and goes back when it is calm.

Test: cli TestGarbageFollowsTheLoad.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -24,11 +24,11 @@
 	}
 	stop := startLog(e, s.Verbosity)
 	defer stop()
-	tuneMemory(s)
 	n, err := runner.New(s, platformSurroundings())
 	if err != nil {
 		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
 	}
+	group.Go(func() { tuneMemory(ctx, s) })
 	group.Go(func() { followSettings(ctx, f, platform.DecodeSettings, n.Reload) })
 	n.Run(ctx, e.again)
 	return nil
