Bound control messages and answers of the store

Cause: net/http reads heads of answers up to 10 MB and twirp reads bodies whole, so that one peer or store in trouble could fill a VM of 112 MB.

Change: 8 MB for a control message in either direction, 64 KB for heads. Requests of callers were bounded already; the tests now say so.

Tests: connector TestEndlessRequestsAreCutOff, TestEndlessControlMessagesAreCutOff, platform TestEndlessAnswersOfTheStore.

--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -38,19 +38,21 @@
 
 // NewTransport returns a transport to other nodes whose bytes t counts. It
 // sends from the IP number of address from, unless that is empty.
-func NewTransport(t *meter.Traffic, from string) *http.Transport {
+func NewTransport(t *meter.Traffic, from string) http.RoundTripper {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
-	return &http.Transport{
+	return boundedAnswers{&http.Transport{
 		Protocols:          &p,
 		DialContext:        t.Dialer(&net.Dialer{Timeout: dialBound, KeepAlive: keepAliveInterval, LocalAddr: source(from)}),
 		IdleConnTimeout:    idleBound,
 		DisableCompression: true,
+		// As for callers.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: SilenceBound,
 			PingTimeout:     PingBound,
 		},
-	}
+	}}
 }
 
 // source returns the IP number of an address with any port, or nil.
--- a/internal/runner/peer.go
+++ b/internal/runner/peer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/connector"
 	"github.com/dragonflydoor/dragonflydoor/internal/forwarder"
 	"github.com/dragonflydoor/dragonflydoor/internal/messenger"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
@@ -13,7 +14,7 @@
 
 // peerHandler separates calls from control messages.
 func (n *Node) peerHandler() http.Handler {
-	m := messenger.NewMeshServer(mesh{n})
+	m := connector.BoundMessages(messenger.NewMeshServer(mesh{n}))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.Header.Get(forwarder.HopHeader) == "":
