--- a/internal/grouper/group.go
+++ b/internal/grouper/group.go
@@ -16,7 +16,9 @@
 }
 
 func (g *Group) start() {
-	g.once.Do(func() { g.pool = pond.NewPool(0) })
+	// A loop that panics must not end unseen: the rest of the process would go on
+	// without it.
+	g.once.Do(func() { g.pool = pond.NewPool(0, pond.WithoutPanicRecovery()) })
 }
 
 // Go runs f in the group.
