--- a/internal/imitator/target.go
+++ b/internal/imitator/target.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,11 @@
 const (
 	announcePeriod = time.Second
 	fillerBytes    = 32 << 10
+	// pourBytes are sent after each pourPause in answers without end, to readers
+	// that take them within pourBound.
+	pourBytes = 16 << 10
+	pourPause = time.Millisecond
+	pourBound = 10 * time.Second
 )
 
 // Target stands in for a service's target. It records every run of every
@@ -26,7 +32,8 @@
 //
 // The query parameters of a request say how it behaves: sleep_ms delays the
 // answer, bytes makes it that long, pace_ms spreads it, cut_after breaks it
-// off after that many bytes, crash ends the process, status sets the status.
+// off after that many bytes, crash ends the process, status sets the status,
+// endless sends a head, a body or interim answers until the connection is closed.
 type Target struct {
 	// Service and Address are announced to the node.
 	Service string
@@ -168,6 +175,10 @@
 	if !sleeper.Sleep(r.Context(), millis(q.Get("sleep_ms"))) {
 		return
 	}
+	if q.Has("endless") {
+		pour(w, q.Get("endless"))
+		return
+	}
 	if n := number(q.Get("bytes")); n > 0 {
 		t.fill(w, r, n)
 		return
@@ -210,6 +221,29 @@
 	t.running--
 }
 
+// endless holds how answers without end begin and go on.
+var endless = map[string]struct{ begin, part string }{
+	"head":    {"HTTP/1.1 200 OK\r\nX-Filler: ", strings.Repeat("x", pourBytes)},
+	"body":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n" + strings.Repeat("x", 0x4000) + "\r\n"},
+	"interim": {"", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100)},
+}
+
+// pour sends bytes of a kind until the connection is closed.
+func pour(w http.ResponseWriter, kind string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		klog.ErrorS(err, "Connection can not be taken over")
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, endless[kind].begin)
+	for p := []byte(endless[kind].part); err == nil && len(p) > 0; {
+		_ = c.SetWriteDeadline(time.Now().Add(pourBound))
+		_, err = c.Write(p)
+		time.Sleep(pourPause)
+	}
+}
+
 // fill answers with n bytes, slowly or in part if asked to.
 func (t *Target) fill(w http.ResponseWriter, r *http.Request, n int) {
 	q := r.URL.Query()
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -42,6 +42,8 @@
 	// keeps until it breaks.
 	callersOfNode = 4
 	largeAnswer   = 200_000
+	// endlessBound is the deadline of requests whose answers do not end.
+	endlessBound = "700"
 	callerTimeout = 8 * time.Second
 )
 
@@ -355,7 +357,8 @@
 }
 
 // call makes a request and records what came back: half of them POST, each
-// eighth with a large answer that takes a while, each sixteenth a long one.
+// eighth with a large answer that takes a while, each sixteenth a long one, and
+// some with one that does not end.
 func (s *soak) call(c *http.Client, node, id string, k int) {
 	v := told{id: id, method: http.MethodGet, at: time.Now()}
 	query := "?sleep_ms=15"
@@ -367,6 +370,8 @@
 		query = fmt.Sprintf("?bytes=%d&pace_ms=20", largeAnswer)
 	case k%16 == 5:
 		query = "?sleep_ms=1500"
+	case k%32 == 14 || k%32 == 23:
+		query = "?endless=" + []string{"head", "body", "interim"}[k%3]
 	}
 	q, err := http.NewRequest(v.method, "http://"+s.address(node+".caller")+"/"+id+query, strings.NewReader(id))
 	if err != nil {
@@ -374,6 +379,9 @@
 		return
 	}
 	q.Header.Set("X-Run", id)
+	if strings.HasPrefix(query, "?endless") {
+		q.Header.Set("Dragonflydoor-Deadline-Ms", endlessBound)
+	}
 	q.GetBody = nil
 	r, err := c.Do(q)
 	if err == nil && r.StatusCode == http.StatusOK && k%8 == 0 {
