Do not take targets of a stopping node for targets that leave

Cause: a planned stop closes the gates of its targets in the same way as a target that leaves, so that the record that others keep named them as leaving, and the restarted node left its target out of use for 2 minutes.

Change: a stop suspends the targets; only what targets say of themselves is told as leaving.

Test: registrar TestTargetsOutliveTheStopOfTheirNode, red before. The soak's answers without end may be broken off.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -63,6 +63,8 @@
 	Until time.Time
 	// Down says that the target refused connections since it was announced.
 	Down bool
+	// Suspended says that the node stops, which the target outlives.
+	Suspended bool
 }
 
 // Outcome says what became of an announcement.
@@ -226,7 +228,9 @@
 }
 
 func (t *Target) record() gossiper.Target {
-	return record(t.Announcement)
+	k := record(t.Announcement)
+	k.Draining = k.Draining || t.Suspended
+	return k
 }
 
 // Find returns the target of a service at address, whether it drains or not.
@@ -256,15 +260,16 @@
 	return *t, true
 }
 
-// DrainAll stops new work for every target and returns them.
-func (r *Registrar) DrainAll() []Target {
-	var l []Target
-	for _, t := range r.List() {
-		if d, ok := r.Drain(t.Address); ok {
-			l = append(l, d)
-		}
+// Suspend stops new work for every target because the node stops. The targets do
+// not leave, so that the node's next life uses them again.
+func (r *Registrar) Suspend() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.targets {
+		t.Gate.Drain()
+		t.Suspended = true
 	}
-	return l
+	r.notify()
 }
 
 // Depart stops new work for one life of a target, for good. It reports whether
--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -62,6 +62,23 @@
 	return slices.ContainsFunc(r.List(), func(t Target) bool { return !t.Draining && !t.Down })
 }
 
+// TestTargetsOutliveTheStopOfTheirNode stops a node as planned, which closes the gates
+// of targets that go on. Its next life uses them at once.
+func TestTargetsOutliveTheStopOfTheirNode(t *testing.T) {
+	var told []gossiper.Target
+	former := Registrar{Changed: func(l []gossiper.Target) { told = l }}
+	former.Announce(life("a", 5, 3), router.Limits{Slots: 4}, start)
+	former.Suspend()
+	if len(told) != 1 || !told[0].Draining {
+		t.Errorf("others were told of %v", told)
+	}
+	var r Registrar
+	r.Recall(told, start)
+	if o := r.Announce(probed(life("a", 0, 0)), router.Limits{Slots: 4}, start); o != Added || !takesWork(&r) {
+		t.Errorf("the target was %s", o)
+	}
+}
+
 // TestDeparturesAreRememberedByOthers restarts a node twice.
 func TestDeparturesAreRememberedByOthers(t *testing.T) {
 	var told []gossiper.Target
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -325,7 +325,7 @@
 	n.entry.Refuse()
 	n.gossiper.Update(func(m gossiper.Member) gossiper.Member { return m.WithStatus(gossiper.Draining) })
 	n.gossiper.Farewell()
-	n.registrar.DrainAll()
+	n.registrar.Suspend()
 	if l.Linger == 0 {
 		sleeper.Sleep(ctx, drainGrace)
 	}
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -24,8 +24,10 @@
 	verdict string
 	// broken is why no whole answer came.
 	broken string
-	wrong  string
-	at     time.Time
+	// endless says that the target sent bytes until its connection was closed.
+	endless bool
+	wrong   string
+	at      time.Time
 }
 
 // load is a crowd of callers.
