--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -356,22 +356,27 @@
 	}
 }
 
-// call makes a request and records what came back: half of them POST, each
-// eighth with a large answer that takes a while, each sixteenth a long one, and
-// some with one that does not end.
-func (s *soak) call(c *http.Client, node, id string, k int) {
-	v := told{id: id, method: http.MethodGet, at: time.Now()}
-	query := "?sleep_ms=15"
-	if k%2 == 1 {
-		v.method = http.MethodPost
-	}
+// queryOf returns how the target is to answer the k-th request of a caller: each
+// eighth with a large answer that takes a while, each sixteenth after a long time,
+// and some with one that does not end.
+func queryOf(k int) string {
 	switch {
 	case k%8 == 0:
-		query = fmt.Sprintf("?bytes=%d&pace_ms=20", largeAnswer)
+		return fmt.Sprintf("?bytes=%d&pace_ms=20", largeAnswer)
 	case k%16 == 5:
-		query = "?sleep_ms=1500"
+		return "?sleep_ms=1500"
 	case k%32 == 14 || k%32 == 23:
-		query = "?endless=" + []string{"head", "body", "interim"}[k%3]
+		return "?endless=" + []string{"head", "body", "interim"}[k%3]
+	}
+	return "?sleep_ms=15"
+}
+
+// call makes a request, each second one POST, and records what came back.
+func (s *soak) call(c *http.Client, node, id string, k int) {
+	query := queryOf(k)
+	v := told{id: id, method: http.MethodGet, at: time.Now(), endless: strings.HasPrefix(query, "?endless")}
+	if k%2 == 1 {
+		v.method = http.MethodPost
 	}
 	q, err := http.NewRequest(v.method, "http://"+s.address(node+".caller")+"/"+id+query, strings.NewReader(id))
 	if err != nil {
@@ -379,7 +384,7 @@
 		return
 	}
 	q.Header.Set("X-Run", id)
-	if strings.HasPrefix(query, "?endless") {
+	if v.endless {
 		q.Header.Set("Dragonflydoor-Deadline-Ms", endlessBound)
 	}
 	q.GetBody = nil
@@ -398,12 +403,8 @@
 	} else {
 		v.read(r, err)
 	}
-	if strings.HasPrefix(query, "?endless") {
-		// It can only be broken off, at its deadline or before.
-		v.endless = true
-		if v.status == http.StatusOK && v.broken == "" {
-			v.wrong = "an answer without end was passed on as whole"
-		}
+	if v.endless && v.status == http.StatusOK && v.broken == "" {
+		v.wrong = "an answer without end was passed on as whole"
 	}
 	s.guard.Lock()
 	s.told = append(s.told, v)
