--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -2,6 +2,7 @@
 package scenarios
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -46,8 +47,23 @@
 			if why, ok := red[n]; ok {
 				e.T().Skip("known red: " + why)
 			}
+			e.Defer(func() { keepLogs(e, n) })
 			return setup(e)
 		},
 		Cmds: commands,
 	})
 }
+
+// keepLogs copies what the processes of a failed scenario wrote to a directory
+// that stays after the run.
+func keepLogs(e *testscript.Env, name string) {
+	f, ok := e.T().(interface{ Failed() bool })
+	if !ok || !f.Failed() {
+		return
+	}
+	kept, err := os.MkdirTemp("", "scenario-"+name+"-")
+	if err == nil {
+		err = os.CopyFS(kept, os.DirFS(e.WorkDir))
+	}
+	e.T().Log(fmt.Sprintf("logs are in %s %v", kept, err))
+}
