Compare tables once more after a join

Nodes that join at the same time through different members can miss each other: the table that n8 got was read before n6 was known there, and an update is gossiped in four packets (9 members), some of which are sent before anyone knows n8. What rumors miss is found by three acks in a row with another table, one probe a second, and the next comparison, every 2 s: 3 to 6 s, beyond the bound of 5 s.

Change: a node that joined compares tables once more with the member through which it joined, at the next comparison, 2 s later at most. An ack with an equal table cancels it.

gossiper TestJoiningNodeLearnsOfMembersThatJoinMeanwhile fails without the change. That this was the cause of the failure seen is read from the code: it kept no logs.

--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -80,6 +80,9 @@
 		return false, err
 	}
 	r.mergeRecords("", a.GetMembers())
+	if joining {
+		r.scheduleComparison(address)
+	}
 	q := r.compareSummaries(a)
 	if len(q.GetMembers()) == 0 && len(q.GetWanted()) == 0 {
 		return true, nil
@@ -92,6 +95,21 @@
 	return true, nil
 }
 
+// scheduleComparison has this node compare tables once more with the member through
+// which it joined. Members that joined meanwhile through others may have been
+// gossiped before anyone knew this node.
+func (r *Reconciler) scheduleComparison(address string) {
+	g := r.gossiper
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for n, w := range g.core.table.rows {
+		if w.member.PeerAddress == address && n != g.core.self.Node {
+			g.core.differences.noteNewMember(n)
+			return
+		}
+	}
+}
+
 func (r *Reconciler) request(joining bool) *messenger.ExchangeRequest {
 	g := r.gossiper
 	g.mu.Lock()
--- a/internal/gossiper/restart_test.go
+++ b/internal/gossiper/restart_test.go
@@ -56,3 +56,22 @@
 		})
 	}
 }
+
+// TestJoiningNodeLearnsOfMembersThatJoinMeanwhile checks that a node that joins gets
+// the records of nodes that join at the same time through others, even if all rumors
+// about them passed before anyone knew the node.
+func TestJoiningNodeLearnsOfMembersThatJoinMeanwhile(t *testing.T) {
+	var m meter.Traffic
+	peer := New(Member{Node: "peer", PeerAddress: "p", Incarnation: 1}, nil, &m)
+	peerReconciler := NewReconciler(peer, nil)
+	g := New(Member{Node: "n", PeerAddress: "a", Incarnation: 1}, nil, &m)
+	r := NewReconciler(g, func(string) messenger.Mesh { return localPeer{reconciler: peerReconciler} })
+	if ok, err := r.Exchange(t.Context(), "p", true); !ok || err != nil {
+		t.Fatalf("not joined: %v", err)
+	}
+	peerReconciler.mergeRecords("", WriteMembers([]Member{{Node: "other", PeerAddress: "o", Incarnation: 1}}))
+	r.compare(t.Context())
+	if _, ok := g.core.table.get("other"); !ok {
+		t.Error("the node does not know the member that joined meanwhile")
+	}
+}
