Count how long slots of targets are held, by use

Operators could not see how much of the slots goes to answers in time, to late ones, to failures and to requests that were broken off. dragonflydoor_slot_time has the time by use, and the gauge dragonflydoor_slots what there was.

--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -49,6 +49,7 @@
 	ledger       ledger
 	inFlight     workload
 	uplink       pacer.Uplink
+	usage        slotUsage
 }
 
 // NewGate returns a gate for the targets in r that reports crashes to w.
@@ -98,21 +99,24 @@
 		return nil, judge.Error(judge.NotFound, judge.NotRun, "gate: no target of %s at %s", c.service, c.target)
 	}
 	ctx, release, cancel := limitUntilAnswer(ctx, c.deadline)
-	p, err := t.Gate.Enter(ctx, c.ticket())
+	k := c.ticket()
+	p, err := t.Gate.Enter(ctx, k)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
+	s := &heldSlot{pass: p, usage: &g.usage, objective: k.Objective, since: time.Now()}
 	a, err := g.run(ctx, c, t)
 	if err != nil || a.rest == nil {
-		p.Leave(resultOf(ctx, a, err))
+		r := resultOf(ctx, a, err)
+		s.release(r, r)
 		cancel()
 		return a, err
 	}
 	if !c.bounded {
 		release()
 	}
-	a.rest = &slotReleasingBody{ReadCloser: a.rest, leave: p.Leave, cancel: cancel}
+	a.rest = &slotReleasingBody{ReadCloser: a.rest, slot: s, cancel: cancel}
 	return a, nil
 }
 
@@ -266,7 +270,7 @@
 type slotReleasingBody struct {
 	io.ReadCloser
 
-	leave  func(gatekeeper.Result)
+	slot   *heldSlot
 	cancel context.CancelFunc
 }
 
@@ -274,7 +278,7 @@
 func (b *slotReleasingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
-		b.leave(gatekeeper.Abandoned)
+		b.slot.release(gatekeeper.Abandoned, streamResult(err))
 	}
 	return n, err
 }
@@ -282,7 +286,7 @@
 // Close implements io.Closer.
 func (b *slotReleasingBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.leave(gatekeeper.Abandoned)
+	b.slot.release(gatekeeper.Abandoned, gatekeeper.Abandoned)
 	b.cancel()
 	return err
 }
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -16,6 +16,8 @@
 	bytesUnit   = "By"
 	countUnit   = ""
 	secondsUnit = "s"
+	// millisecondsUnit is for counters of time, which count whole numbers.
+	millisecondsUnit = "ms"
 )
 
 // durationBounds are the upper bounds of request durations, in seconds: denser
@@ -46,6 +48,7 @@
 		err = errors.Join(err, i.Gauge("dragonflydoor_"+g.name, g.unit, g.text, g.value))
 	}
 	err = errors.Join(err, i.LabelledCounter("dragonflydoor_store_calls", countUnit, "Calls of the store.", n.countStoreCalls))
+	err = errors.Join(err, i.LabelledCounter("dragonflydoor_slot_time", millisecondsUnit, "How long requests have held slots of targets beside this node.", n.countSlotTimes))
 	h, e := i.Histogram("dragonflydoor_request_duration", secondsUnit, "Time from the arrival of a request to its answer.", durationBounds)
 	if e == nil {
 		n.stats.Observe = func(d time.Duration) { h(d.Seconds()) }
@@ -83,6 +86,23 @@
 	}
 }
 
+func (n *Node) countSlotTimes(yield func(value uint64, labels map[string]string)) {
+	for u, d := range n.gate.SlotTimes {
+		yield(uint64(d.Milliseconds()), map[string]string{"use": string(u)})
+	}
+}
+
+// slots returns the number of requests that the targets beside this node may run.
+func (n *Node) slots() int64 {
+	k := 0
+	for _, t := range n.registrar.List() {
+		if !t.Down {
+			k += t.Gate.Load("").Slots
+		}
+	}
+	return int64(k)
+}
+
 func (n *Node) gauges() []gauge {
 	return []gauge{
 		{"generation", countUnit, "Generation in force.", func() int64 { return int64(n.holder.Current().Generation()) }},
@@ -90,6 +110,7 @@
 		{"children", countUnit, "Nodes that pull from this one.", func() int64 { return int64(n.tallier.Children(time.Now())) }},
 		{"relay", countUnit, "1 while this node is a relay.", func() int64 { return flag(n.gossiper.Self().Relay) }},
 		{"targets", countUnit, "Targets beside this node.", func() int64 { return int64(len(n.registrar.List())) }},
+		{"slots", countUnit, "Requests that the targets beside this node may run at once.", n.slots},
 		{"ejected_targets", countUnit, "Targets left alone for their failures.", func() int64 { return int64(n.entry.Ejected()) }},
 	}
 }
