Give up connecting to a vanished node in time to call another one

Cause: peers are dialed for up to 1 s, but calls between targets have 400 ms and routes 800 or 1,000 ms. A call that met a VM which had just vanished waited for its whole deadline, its parent held a slot meanwhile, and no outage was ever recorded, since the deadline ended the attempt before the dialer did.

Change: a connection to a node may take a quarter of the time left. An attempt that is cut short has not run, is made elsewhere, and ejects the target for a second; it does not mark the node as unreachable, because a round trip over a saturated link takes longer.

--- a/internal/exchanger/client.go
+++ b/internal/exchanger/client.go
@@ -93,6 +93,9 @@
 	Repeatable bool
 	// NoReadTimeout disables ReadTimeout for this request.
 	NoReadTimeout bool
+	// ConnectTimeout shortens the client's DialTimeout for this request, so that
+	// time is left to send it elsewhere. Zero means DialTimeout.
+	ConnectTimeout time.Duration
 }
 
 // Response is a response whose header has been read. Its body must be closed.
@@ -138,7 +141,10 @@
 	Refused bool
 	// Reused says that the connection had served earlier requests.
 	Reused bool
-	Err    error
+	// CutShort says that the request's ConnectTimeout ended the connection attempt
+	// before the client's DialTimeout.
+	CutShort bool
+	Err      error
 }
 
 // Error implements error.
@@ -187,7 +193,7 @@
 // Every error is an *Error. If ctx is done before the body has been read, the
 // exchange is aborted.
 func (c *Client) Do(ctx context.Context, address string, q *Request) (*Response, error) {
-	k, err := c.acquire(ctx, address, q.Repeatable)
+	k, err := c.acquire(ctx, address, q)
 	if err != nil {
 		return nil, err
 	}
@@ -202,24 +208,20 @@
 }
 
 // acquire returns an idle connection that is still usable, or a new one.
-func (c *Client) acquire(ctx context.Context, address string, repeatable bool) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, address string, q *Request) (*conn, error) {
 	for {
 		k := c.popIdle(address)
 		if k == nil {
 			break
 		}
-		if c.usable(k, repeatable, time.Now()) {
+		if c.usable(k, q.Repeatable, time.Now()) {
 			return k, nil
 		}
 		_ = k.Close()
 	}
-	n, err := c.dial(ctx, "tcp", address)
+	n, err := c.connect(ctx, address, q.ConnectTimeout)
 	if err != nil {
-		e := &Error{Cause: Unreachable, Refused: isRefused(err), Err: err}
-		if ctx.Err() != nil {
-			e.Cause = Canceled
-		}
-		return nil, e
+		return nil, err
 	}
 	c.mu.Lock()
 	c.stats.Opened++
@@ -228,6 +230,27 @@
 	return &conn{Conn: n, headerLimiter: g, address: address, reader: bufio.NewReaderSize(g, readBufferBytes)}, nil
 }
 
+// connect opens a connection. A positive timeout shortens DialTimeout.
+func (c *Client) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	d := ctx
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		d, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	n, err := c.dial(d, "tcp", address)
+	if err == nil {
+		return n, nil
+	}
+	var o net.Error
+	timedOut := errors.As(err, &o) && o.Timeout()
+	e := &Error{Cause: Unreachable, Refused: isRefused(err), CutShort: timedOut && timeout > 0 && timeout < c.options.DialTimeout, Err: err}
+	if ctx.Err() != nil {
+		e.Cause = Canceled
+	}
+	return nil, e
+}
+
 func (c *Client) usable(k *conn, repeatable bool, now time.Time) bool {
 	if !now.Before(k.expires) || !isOpen(k.Conn) {
 		return false
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -34,6 +34,10 @@
 	// answerHopTime is the time that an answer takes from the gate to the entry. Gates
 	// get a deadline that is earlier by it, so that their refusals arrive in time.
 	answerHopTime = 5 * time.Millisecond
+	// connectTimeDivisor limits the wait for a connection to a node to a fraction of
+	// the time that a call has left, but not to less than minConnectTimeout.
+	connectTimeDivisor = 4
+	minConnectTimeout  = 20 * time.Millisecond
 )
 
 // errNoTarget reports that no target is left to try.
@@ -279,6 +283,13 @@
 	return nil, err
 }
 
+// connectTimeout returns how long a call with the time left waits for a connection to
+// a node. A node that has just vanished does not answer, and the call can still be
+// made elsewhere.
+func connectTimeout(left time.Duration) time.Duration {
+	return max(left/connectTimeDivisor, minConnectTimeout)
+}
+
 func (e *Entry) sendRemote(ctx context.Context, c call, p gossiper.Endpoint) (*answer, error) {
 	if err := c.unexpired(); err != nil {
 		return nil, err
@@ -286,6 +297,7 @@
 	c.header.Set(HopHeader, c.format())
 	c.header.Set(e.dialect.Deadline, formatLeft(c.deadline, time.Now()))
 	q := c.exchange(e.dialect.Request)
+	q.ConnectTimeout = connectTimeout(time.Until(c.deadline))
 	// While the node stops, calls in flight wait for their targets.
 	q.NoReadTimeout = e.stopping.Load()
 	r, err := e.peers.Do(ctx, p.PeerAddress, q)
--- a/internal/forwarder/outage.go
+++ b/internal/forwarder/outage.go
@@ -88,9 +88,11 @@
 }
 
 // recordOutage marks the node of p as unreachable if err means that it did not respond.
+// A connection attempt that was cut short proves nothing: a round trip over a saturated
+// link takes longer.
 func (e *Entry) recordOutage(p gossiper.Endpoint, err error) {
 	var x *exchanger.Error
-	if !errors.As(err, &x) || (x.Cause != exchanger.Unreachable && x.Cause != exchanger.TimedOut) {
+	if !errors.As(err, &x) || x.CutShort || (x.Cause != exchanger.Unreachable && x.Cause != exchanger.TimedOut) {
 		return
 	}
 	if e.outages.add(p.PeerAddress, time.Now()) {
