Keep scarce retries for calls that nobody else repeats

The budget allows repeats of a fifth. First attempts of callers, who can come back by themselves at no cost, competed for it with calls between targets, which fail their parents, and with callers at their last attempt. Rejected callers were sent away for 150 to 300 ms although the next target may well accept them: many returned too late for their objective.

Change: after a last chance found no credit, first attempts of callers draw none for a second. A rejection by a target whose gate had a slot is answered with a Retry-After of up to 41 ms, which only spreads the callers.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -111,7 +111,7 @@
 	if !t.Allowed(j.route.Attempts(j.service)) {
 		return false
 	}
-	return judge.Is(err, errOverdue) || e.budget.Withdraw(j.service, e.nodes())
+	return judge.Is(err, errOverdue) || e.budget.Withdraw(j.service, j.chance(), e.nodes(), time.Now())
 }
 
 // notSent reports whether no gate sent the request to its target, so that trying
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -223,7 +223,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	e.stats.refused(f)
-	if f.Status() == http.StatusServiceUnavailable {
+	switch {
+	case f.Status() != http.StatusServiceUnavailable:
+	case f.Reason == Rejected:
+		f.RetryAfter = postponer.AfterRejection(rand.Float64())
+	default:
 		f.RetryAfter = postponer.After(f.Wait, j.left(), rand.Float64())
 	}
 	e.lines.Info("Request refused", "request", j.id, "route", j.route.Name, "target", j.target, "reason", f.Reason,
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
+	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
@@ -168,6 +169,14 @@
 	return Refusal{}, true
 }
 
+// chance tells whether the caller will retry the request if it fails.
+func (j *job) chance() retrier.Chance {
+	if j.nested || j.triedBefore > 0 {
+		return retrier.LastChance
+	}
+	return retrier.CallerRetries
+}
+
 func (j *job) repeatable() bool {
 	return j.route.Repeatable(j.request.Method)
 }
--- a/internal/postponer/postponer.go
+++ b/internal/postponer/postponer.go
@@ -16,6 +16,9 @@
 	// callerTimeDivisor limits the delay to a fraction of the caller's remaining
 	// time.
 	callerTimeDivisor = 3
+	// rejectionSpread is the range of delays after a rejection that waiting does not
+	// change.
+	rejectionSpread = 40 * time.Millisecond
 )
 
 // After returns the delay before a retry. wait is the expected time until a slot
@@ -29,3 +32,10 @@
 	d += time.Duration(random * float64(d))
 	return min(d, max(left/callerTimeDivisor, minWait))
 }
+
+// AfterRejection returns the delay before a retry of a request that a target rejected
+// although its gate had a slot for it. The next target may well accept it now, so the
+// delay only spreads callers. random is a random number in [0, 1).
+func AfterRejection(random float64) time.Duration {
+	return time.Millisecond + time.Duration(random*float64(rejectionSpread))
+}
--- a/internal/postponer/postponer_test.go
+++ b/internal/postponer/postponer_test.go
@@ -26,6 +26,21 @@
 	}
 }
 
+// TestRetriesAfterRejectionMeetTheirObjective has targets that reject requests whatever
+// their load. A caller that comes back must still be able to get its answer in time:
+// the usual duration is a third of the objective.
+func TestRetriesAfterRejectionMeetTheirObjective(t *testing.T) {
+	const objective, usual = 400 * time.Millisecond, 130 * time.Millisecond
+	for _, r := range []float64{0, 0.5, 0.999} {
+		if d := AfterRejection(r); d <= 0 || d+2*usual > objective {
+			t.Errorf("a delay of %s leaves %s of the objective of %s", d, objective-d, objective)
+		}
+	}
+	if AfterRejection(0.2) == AfterRejection(0.7) {
+		t.Error("all callers come back in the same moment")
+	}
+}
+
 // TestSimultaneousRetriesAreSpread refuses many callers at the same time. No tenth
 // of the retry period may receive more than twice its share of the retries.
 func TestSimultaneousRetriesAreSpread(t *testing.T) {
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
@@ -17,6 +18,9 @@
 	// fleetBoundShare is the share of the fleet-wide limits that nodes use, so that
 	// restarted nodes and requests that ended elsewhere do not exceed the limits.
 	fleetBoundShare = 0.85
+	// scarcityPeriod is how long credit counts as scarce after a call with no other
+	// chance got none. Credit for one more call is earned in less.
+	scarcityPeriod = time.Second
 )
 
 // Budget limits the retries of each service to a share of its calls, so that
@@ -32,8 +36,23 @@
 
 	mu      sync.Mutex
 	credits map[string]float64
+	// deniedAt is when a call with no other chance last got no credit, by service.
+	deniedAt map[string]time.Time
 }
 
+// Chance tells whether a failed call can still be made without a retry of this node.
+type Chance uint8
+
+// The chances.
+const (
+	// CallerRetries means that the caller is at its first attempt. It can make another
+	// one, which costs no credit.
+	CallerRetries Chance = iota
+	// LastChance means that nobody else retries the call: a target makes it for a
+	// request that would fail with it, or its caller has already come back.
+	LastChance
+)
+
 // Deposit credits the service for a first attempt. nodes is the number of nodes
 // that share the budget.
 func (b *Budget) Deposit(s router.Service, nodes int) {
@@ -59,18 +78,32 @@
 	return max(1, b.Slack*fleetBoundShare/float64(max(nodes, 1)))
 }
 
-// Withdraw spends the credit for one retry. It returns false if there is none.
-func (b *Budget) Withdraw(s router.Service, nodes int) bool {
+// Withdraw spends the credit for one retry. It returns false if there is none, or if
+// the call's caller can retry while credit is scarce.
+func (b *Budget) Withdraw(s router.Service, c Chance, nodes int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.credit(s.Name, nodes)
-	if c < 1 || s.Retry.BudgetPercent == 0 {
+	if s.Retry.BudgetPercent == 0 || c == CallerRetries && now.Sub(b.deniedAt[s.Name]) < scarcityPeriod {
 		return false
 	}
-	b.credits[s.Name] = c - 1
+	k := b.credit(s.Name, nodes)
+	if k < 1 {
+		if c == LastChance {
+			b.noteDenied(s.Name, now)
+		}
+		return false
+	}
+	b.credits[s.Name] = k - 1
 	return true
 }
 
+func (b *Budget) noteDenied(service string, now time.Time) {
+	if b.deniedAt == nil {
+		b.deniedAt = make(map[string]time.Time)
+	}
+	b.deniedAt[service] = now
+}
+
 // Reserve spends the credit for one retry in advance, unless that would leave too
 // little for other requests.
 func (b *Budget) Reserve(service string, nodes int) bool {
