Let requests that can still be in time go first at targets too slow for the margin

Cause: a request counts as timely if 90% of the durations of its class fit in what is left of its objective.

Change: the margin is at most six tenths of what requests of the class usually have left on arrival.

--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -92,6 +92,7 @@
 	announcedAt  time.Time
 	running      []*Pass
 	waiting      []*waiter
+	objectives   usualObjectives
 	draining     bool
 	classes      map[string]*durationStats
 	meanDuration time.Duration
@@ -173,6 +174,9 @@
 	if g.draining {
 		return nil, nil, drainingError()
 	}
+	if !t.Objective.IsZero() {
+		g.objectives.record(t.Class, t.Objective.Sub(now))
+	}
 	if len(g.running) < g.slots(now) && len(g.waiting) == 0 {
 		// Never refuse a request while a slot is free: without new durations,
 		// an estimate that is too long would never be corrected.
@@ -242,7 +246,19 @@
 // late as not would waste slots over and over.
 func (g *Gate) missesObjective(w *waiter, start time.Time) bool {
 	o := w.ticket.Objective
-	return !w.ticket.Nested && !o.IsZero() && start.Add(g.p90Duration(w.ticket.Class)).After(o)
+	return !w.ticket.Nested && !o.IsZero() && start.Add(g.likelyDuration(w.ticket.Class)).After(o)
+}
+
+// likelyDuration returns the duration that must fit in what is left of the objective:
+// the 90th percentile or, if that is too long even for requests that need not wait, as
+// at a target that has just started, a share of the objective. Otherwise no request
+// would go before another, and those that have waited longest would take the slots.
+func (g *Gate) likelyDuration(class string) time.Duration {
+	d := g.p90Duration(class)
+	if o := g.objectives.of(class); o > 0 {
+		d = min(d, time.Duration(achievableShare*float64(o)))
+	}
+	return d
 }
 
 // p90Duration estimates the duration within which about 90% of the requests of
