Ask the next peer to join through while one does not answer

Cause: after a power cut the first nodes that are back find the relays of before in the store. Those without power do not refuse connections, they hang for a second, and peers were asked one after the other.

Change: after 100 ms without an answer another peer is asked as well; the first one that shares its table ends the rest.

--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
@@ -20,6 +21,9 @@
 	minBackoff   = 100 * time.Millisecond
 	retryBackoff = time.Second
 	maxBackoff   = 5 * time.Second
+	// silentPause is how long a node may take to answer before another one is asked as
+	// well.
+	silentPause = 100 * time.Millisecond
 	// maxFailedRounds is the number of failed rounds after which a node assumes that it
 	// is the first one.
 	maxFailedRounds = 2
@@ -50,6 +54,8 @@
 	// listedRelays are the relays last listed by the store. They are kept while one of
 	// them responds that it is busy.
 	listedRelays []string
+	// group runs the exchanges, which end when one of them has succeeded.
+	group grouper.Group
 	// acceptStale reports whether the next listing may be a few seconds old.
 	acceptStale bool
 }
@@ -112,24 +118,69 @@
 }
 
 // try asks the nodes at addresses in random order. It returns the address of the
-// first that shared its membership, or whether any of them was busy.
+// first that shared its membership, or whether any of them was busy. The next node is
+// asked when one has failed, or has not answered for silentPause: connections to a VM
+// that has no power hang, as when all VMs return from a power cut one after the other.
 func (j *Joiner) try(ctx context.Context, addresses []string) (address string, busy bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, len(addresses))
+	ended, asked := 0, 0
 	for _, i := range rand.Perm(len(addresses)) {
 		a := addresses[i]
 		if a == j.self {
 			continue
 		}
-		ok, err := j.exchanger.Exchange(ctx, a, true)
-		if ok {
-			klog.Infof(logPrefix+"Joined through %s.", a)
-			return a, false
+		asked++
+		j.group.Go(func() {
+			ok, err := j.exchanger.Exchange(ctx, a, true)
+			results <- result{address: a, joined: ok, err: err}
+		})
+		if r, ok := receive(results, silentPause); ok {
+			ended++
+			if r.log(); r.joined {
+				return r.address, false
+			}
+			busy = busy || r.err == nil
 		}
-		busy = busy || err == nil
-		klog.V(1).Infof(logPrefix+"Joining through %s failed: %v", a, err)
+	}
+	for ; ended < asked; ended++ {
+		r := <-results
+		if r.log(); r.joined {
+			return r.address, false
+		}
+		busy = busy || r.err == nil
 	}
 	return "", busy
 }
 
+// result is the result of an exchange with a node.
+type result struct {
+	address string
+	joined  bool
+	err     error
+}
+
+func (r result) log() {
+	if r.joined {
+		klog.Infof(logPrefix+"Joined through %s.", r.address)
+		return
+	}
+	klog.V(1).Infof(logPrefix+"Joining through %s failed: %v", r.address, r.err)
+}
+
+// receive returns the next result, or false if there is none within d.
+func receive(results <-chan result, d time.Duration) (result, bool) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case r := <-results:
+		return r, true
+	case <-t.C:
+		return result{}, false
+	}
+}
+
 // relays lists the relays in the store. The first listing may be stale: if its
 // relays have stopped and do not respond, the next call requests a current one.
 func (j *Joiner) relays(ctx context.Context) []string {
--- a/internal/joiner/joiner_test.go
+++ b/internal/joiner/joiner_test.go
@@ -112,3 +112,38 @@
 		}
 	})
 }
+
+// darkPeers hang until the exchange is given up, but for one.
+type darkPeers struct{ alive string }
+
+func (p darkPeers) Exchange(ctx context.Context, address string, _ bool) (bool, error) {
+	if address == p.alive {
+		return true, nil
+	}
+	<-ctx.Done()
+	return false, ctx.Err()
+}
+
+// TestJoinDoesNotWaitForDarkPeers covers a power cut of all VMs: the first nodes that
+// are back find the relays of before in the store, most of which have no power yet.
+// Until they have joined they know no targets.
+func TestJoinDoesNotWaitForDarkPeers(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	relays := []string{"a", "b", "c", "d", "e"}
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			s := &relayStore{}
+			for _, r := range relays {
+				s.register(r)
+			}
+			time.Sleep(2 * lag)
+			start := time.Now()
+			if a := New(darkPeers{alive: "c"}, s, "n", nil).Join(t.Context()); a != "c" {
+				t.Errorf("joined through %q", a)
+			}
+			if d := time.Since(start); d > bound {
+				t.Errorf("joined after %s", d)
+			}
+		})
+	}
+}
