Sleep until something is due instead of polling

Change: the protocol ticks when a probe, a rumor or a deadline is due or the view has changed, and twice a second otherwise; the puller checks five times a second unless the node is behind or has just reported.

--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -226,6 +226,32 @@
 	return o
 }
 
+// nextDue returns when Tick has something to do.
+func (c *Core) nextDue() time.Time {
+	d := c.lastProbe.Add(probePeriod)
+	earliest := func(t time.Time) {
+		if t.Before(d) {
+			d = t
+		}
+	}
+	if c.queue.size() > 0 {
+		earliest(c.lastRumor.Add(rumorPeriod))
+	}
+	for _, p := range c.probes {
+		if !p.indirect {
+			earliest(p.sent.Add(probeTimeout))
+		}
+		earliest(p.sent.Add(probePeriod))
+	}
+	for _, p := range c.forwardedPings {
+		earliest(p.sent.Add(probePeriod))
+	}
+	for _, t := range c.deadlines {
+		earliest(t)
+	}
+	return d
+}
+
 // resetAfterStall discards pending probes and restarts suspicion timeouts after the
 // process was paused, since they ran out only because of the pause.
 func (c *Core) resetAfterStall(now time.Time) {
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -140,6 +140,7 @@
 		}
 		g.core.applyTombstone(t, false, time.Now())
 	}
+	defer g.wake()
 	for _, m := range g.core.table.inBuckets(a.GetDiffering()) {
 		if t, ok := theirs[HashNode(m.Node)]; !ok || m.supersedes(Member{Incarnation: t.Incarnation, Condition: t.Condition}) {
 			q.Members = append(q.Members, WriteMembers([]Member{m})...)
@@ -167,6 +168,7 @@
 	g.core.Merge(from, ReadMembers(list), time.Now())
 	g.core.ResetDifferences()
 	g.refresh()
+	g.wake()
 }
 
 // Serve handles an exchange request of another node.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -16,7 +16,10 @@
 )
 
 const (
+	// tickPeriod is the shortest time between two ticks, and maxTickPeriod the longest:
+	// a node on which nothing is due sleeps. It is far below stallThreshold.
 	tickPeriod       = 50 * time.Millisecond
+	maxTickPeriod    = 500 * time.Millisecond
 	readBuffer       = 64 << 10
 	logPrefix        = "gossiper: "
 	departureRumors  = 3
@@ -31,6 +34,10 @@
 	mu   sync.Mutex
 	core *Core
 
+	// nextTick is when the tick loop runs next, and woken makes it run earlier.
+	nextTick time.Time
+	woken    chan struct{}
+
 	view    atomic.Pointer[View]
 	changed chan struct{}
 }
@@ -42,6 +49,7 @@
 		socket:  socket,
 		traffic: t,
 		core:    NewCore(self, r, time.Now()),
+		woken:   make(chan struct{}, 1),
 		changed: make(chan struct{}, 1),
 	}
 	g.view.Store(newView(&g.core.table))
@@ -77,6 +85,7 @@
 	defer g.mu.Unlock()
 	g.core.UpdateSelf(f(g.core.Self()), time.Now())
 	g.refresh()
+	g.wake()
 }
 
 // SetConfiguration sets the configuration that this node advertises as its own.
@@ -138,6 +147,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.core.AddStrike(s, time.Now())
+	g.wake()
 	var l []Outgoing
 	for _, e := range g.view.Load().Service(service) {
 		if e.Node == g.core.self.Node {
@@ -171,16 +181,18 @@
 }
 
 func (g *Gossiper) tick(ctx context.Context) {
-	t := time.NewTicker(tickPeriod)
+	t := time.NewTimer(tickPeriod)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
 			g.send(g.advance())
+		case <-g.woken:
 		case <-ctx.Done():
 			_ = g.socket.Close()
 			return
 		}
+		t.Reset(g.schedule())
 	}
 }
 
@@ -192,6 +204,42 @@
 	return o
 }
 
+// schedule sets the time of the next tick and returns the time until then.
+func (g *Gossiper) schedule() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nextTick = g.due()
+	return time.Until(g.nextTick)
+}
+
+// due returns when the next tick has something to do: a view to publish, or packets to
+// send.
+func (g *Gossiper) due() time.Time {
+	first := g.core.lastTick.Add(tickPeriod)
+	if g.view.Load().Version != g.core.table.version {
+		return first
+	}
+	d := g.core.nextDue()
+	if last := g.core.lastTick.Add(maxTickPeriod); d.After(last) {
+		return last
+	}
+	if d.Before(first) {
+		return first
+	}
+	return d
+}
+
+// wake makes the tick loop schedule its next tick anew if it is due earlier now.
+func (g *Gossiper) wake() {
+	if !g.due().Before(g.nextTick) {
+		return
+	}
+	select {
+	case g.woken <- struct{}{}:
+	default:
+	}
+}
+
 func (g *Gossiper) receive(ctx context.Context) {
 	b := make([]byte, readBuffer)
 	for ctx.Err() == nil {
@@ -221,6 +269,7 @@
 func (g *Gossiper) handle(address string, p Packet) []Outgoing {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.wake()
 	return g.core.Receive(address, p, time.Now())
 }
 
--- a/internal/syncer/puller.go
+++ b/internal/syncer/puller.go
@@ -25,7 +25,10 @@
 	fetchTimeout   = 3 * time.Second
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
-	checkPeriod    = 50 * time.Millisecond
+	// checkPeriod is the period of checks while the node is behind or has just reported
+	// a change, and calmCheckPeriod the one at other times.
+	checkPeriod     = 50 * time.Millisecond
+	calmCheckPeriod = 200 * time.Millisecond
 	// hintGrace is the delay between learning of a higher generation and fetching
 	// it outside the tree, which normally delivers it within a few round trips.
 	hintGrace = 150 * time.Millisecond
@@ -216,11 +219,15 @@
 // check cancels the running poll if the report has changed or the parent is no
 // longer usable, and fetches generations that the tree has not delivered.
 func (p *Puller) check(ctx context.Context) {
-	for sleeper.Sleep(ctx, checkPeriod) {
-		if p.outdated() {
+	for d := checkPeriod; sleeper.Sleep(ctx, d); {
+		o := p.outdated()
+		if o {
 			p.cancelPoll()
 		}
-		p.catchUp(ctx)
+		d = calmCheckPeriod
+		if behind := p.catchUp(ctx); o || behind {
+			d = checkPeriod
+		}
 	}
 }
 
@@ -242,21 +249,21 @@
 }
 
 // catchUp polls the member with the highest known generation once this node has
-// been behind for hintGrace.
-func (p *Puller) catchUp(ctx context.Context) {
+// been behind for hintGrace. It reports whether the node was behind.
+func (p *Puller) catchUp(ctx context.Context) bool {
 	h := p.gossiper.NewestConfiguration()
 	if h.Generation <= p.holder.Current().Generation() {
 		p.behindSince = time.Time{}
-		return
+		return false
 	}
 	if p.behindSince.IsZero() {
 		p.behindSince = time.Now()
 	}
-	if time.Since(p.behindSince) < hintGrace {
-		return
+	if time.Since(p.behindSince) >= hintGrace {
+		p.Fetch(ctx, h.Address)
+		p.behindSince = time.Now()
 	}
-	p.Fetch(ctx, h.Address)
-	p.behindSince = time.Now()
+	return true
 }
 
 // Fetch applies the configuration of the node at address, if it has a newer one.
