Write and read the metadata of calls without maps

Two queries are written and two are read for each call between nodes; url.Values took about a tenth of the processor time of a call (profile of a benchmark: 0.28 of 4.16 s with the caller and the target in it). The form on the wire stays the same (TestFieldsAreURLQueries). A header was copied twice; the entry copies it for each attempt already.

--- a/internal/forwarder/entry_test.go
+++ b/internal/forwarder/entry_test.go
@@ -27,7 +27,7 @@
 
 // newEntry returns an entry that sends all requests to one target beside its node, and
 // the target's gate.
-func newEntry(t *testing.T, target string, l router.Limits) (*Entry, *gatekeeper.Gate) {
+func newEntry(t testing.TB, target string, l router.Limits) (*Entry, *gatekeeper.Gate) {
 	t.Helper()
 	var r registrar.Registrar
 	r.Announce(registrar.Announcement{Service: "s", Address: target, Instance: "i"}, l, time.Now())
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -194,7 +194,6 @@
 	if !c.repeatable && c.attempt != "" && !g.ledger.send(c.attempt, time.Now()) {
 		return nil, judge.Error(judge.Interrupted, judge.NotRun, "gate: the entry has settled the attempt")
 	}
-	c.header = c.header.Clone()
 	if g.dialect.Instance != "" && t.Instance != "" {
 		c.header.Set(g.dialect.Instance, t.Instance)
 	}
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -66,54 +65,36 @@
 )
 
 func (h hop) format() string {
-	v := url.Values{purposeField: {string(h.purpose)}}
-	for n, s := range map[string]string{
-		serviceField: h.service, targetField: h.target, profileField: h.profile,
-		attemptField: h.attempt, classField: h.class,
-	} {
-		if s != "" {
-			v.Set(n, s)
-		}
-	}
-	for n, b := range map[string]bool{immediateField: h.immediate, nestedField: h.nested, repeatableField: h.repeatable, repeatField: h.repeat, abandonOverdueField: h.abandonOverdue, boundedField: h.bounded} {
-		if b {
-			v.Set(n, "1")
-		}
-	}
-	if h.priority != 0 {
-		v.Set(priorityField, strconv.Itoa(h.priority))
+	var w fieldWriter
+	w.addText(attemptField, h.attempt)
+	w.addFlag(abandonOverdueField, h.abandonOverdue)
+	w.addText(classField, h.class)
+	w.addText(profileField, h.profile)
+	w.addFlag(repeatField, h.repeat)
+	if h.fingerprint != unknownFingerprint {
+		w.add(fingerprintField, formatFingerprint(h.fingerprint))
 	}
+	w.addFlag(immediateField, h.immediate)
+	w.addFlag(repeatableField, h.repeatable)
+	w.addFlag(nestedField, h.nested)
 	if h.objective != 0 {
-		v.Set(objectiveField, formatMicros(h.objective))
+		w.add(objectiveField, formatMicros(h.objective))
 	}
-	if h.fingerprint != unknownFingerprint {
-		v.Set(fingerprintField, formatFingerprint(h.fingerprint))
+	w.add(purposeField, string(h.purpose))
+	if h.priority != 0 {
+		w.add(priorityField, strconv.Itoa(h.priority))
 	}
-	return v.Encode()
+	w.addText(serviceField, h.service)
+	w.addText(targetField, h.target)
+	w.addFlag(boundedField, h.bounded)
+	return w.String()
 }
 
 func parseHop(s string) (hop, bool) {
-	v, err := url.ParseQuery(s)
-	if err != nil {
+	var h hop
+	if !readFields(s, h.set) {
 		return hop{}, false
 	}
-	h := hop{
-		purpose:        purpose(v.Get(purposeField)),
-		service:        v.Get(serviceField),
-		target:         v.Get(targetField),
-		profile:        v.Get(profileField),
-		attempt:        v.Get(attemptField),
-		class:          v.Get(classField),
-		objective:      parseMicros(v.Get(objectiveField)),
-		immediate:      v.Has(immediateField),
-		nested:         v.Has(nestedField),
-		repeatable:     v.Has(repeatableField),
-		repeat:         v.Has(repeatField),
-		abandonOverdue: v.Has(abandonOverdueField),
-		bounded:        v.Has(boundedField),
-		fingerprint:    parseFingerprint(v.Get(fingerprintField)),
-	}
-	h.priority, _ = strconv.Atoi(v.Get(priorityField))
 	switch h.purpose {
 	case toGate, toHome, toSettle, toCheck:
 		return h, true
@@ -121,6 +102,42 @@
 	return hop{}, false
 }
 
+// set sets the field with the given name. Unknown ones are ignored.
+func (h *hop) set(name, value string) {
+	switch name {
+	case purposeField:
+		h.purpose = purpose(value)
+	case serviceField:
+		h.service = value
+	case targetField:
+		h.target = value
+	case profileField:
+		h.profile = value
+	case attemptField:
+		h.attempt = value
+	case classField:
+		h.class = value
+	case priorityField:
+		h.priority, _ = strconv.Atoi(value)
+	case objectiveField:
+		h.objective = parseMicros(value)
+	case immediateField:
+		h.immediate = true
+	case nestedField:
+		h.nested = true
+	case repeatableField:
+		h.repeatable = true
+	case repeatField:
+		h.repeat = true
+	case abandonOverdueField:
+		h.abandonOverdue = true
+	case boundedField:
+		h.bounded = true
+	case fingerprintField:
+		h.fingerprint = parseFingerprint(value)
+	}
+}
+
 // ForHome reports whether a call from another node is addressed to the home node of
 // its idempotency key.
 func ForHome(h http.Header) bool {
@@ -161,50 +178,61 @@
 )
 
 func (r report) format() string {
-	v := url.Values{
-		runningField:  {strconv.Itoa(r.load.Running)},
-		waitingField:  {strconv.Itoa(r.load.Waiting)},
-		slotsField:    {strconv.Itoa(r.load.Slots)},
-		durationField: {formatMicros(r.load.Duration)},
-		failuresField: {strconv.Itoa(int(r.load.Failures * permille))},
-	}
-	if len(r.callees) > 0 {
-		v[calleeField] = r.callees
+	var w fieldWriter
+	w.add(durationField, formatMicros(r.load.Duration))
+	if r.refused {
+		w.add(reasonField, string(r.reason))
 	}
-	if r.calleeOverloaded {
-		v.Set(calleeOverloadedField, "1")
+	for _, c := range r.callees {
+		w.add(calleeField, c)
 	}
+	w.add(slotsField, strconv.Itoa(r.load.Slots))
+	w.add(waitingField, strconv.Itoa(r.load.Waiting))
+	w.add(runningField, strconv.Itoa(r.load.Running))
 	if r.refused {
-		v.Set(verdictField, r.verdict.String())
-		v.Set(reasonField, string(r.reason))
-		v.Set(waitField, formatMicros(r.wait))
+		w.add(verdictField, r.verdict.String())
+		w.add(waitField, formatMicros(r.wait))
 	}
-	return v.Encode()
+	w.add(failuresField, strconv.Itoa(int(r.load.Failures*permille)))
+	w.addFlag(calleeOverloadedField, r.calleeOverloaded)
+	return w.String()
 }
 
 func parseReport(s string) (report, bool) {
-	v, err := url.ParseQuery(s)
-	if err != nil || s == "" {
+	var r report
+	if s == "" || !readFields(s, r.set) {
 		return report{}, false
 	}
-	r := report{
-		refused: v.Has(verdictField),
-		verdict: judge.Parse(v.Get(verdictField)),
-		reason:  Reason(v.Get(reasonField)),
-		wait:    parseMicros(v.Get(waitField)),
-		load:    gatekeeper.Load{Duration: parseMicros(v.Get(durationField))},
-		callees: v[calleeField],
-
-		calleeOverloaded: v.Has(calleeOverloadedField),
-	}
-	r.load.Running, _ = strconv.Atoi(v.Get(runningField))
-	r.load.Waiting, _ = strconv.Atoi(v.Get(waitingField))
-	r.load.Slots, _ = strconv.Atoi(v.Get(slotsField))
-	f, _ := strconv.Atoi(v.Get(failuresField))
-	r.load.Failures = float64(f) / permille
 	return r, true
 }
 
+// set sets the field with the given name. Unknown ones are ignored.
+func (r *report) set(name, value string) {
+	switch name {
+	case verdictField:
+		r.refused, r.verdict = true, judge.Parse(value)
+	case reasonField:
+		r.reason = Reason(value)
+	case waitField:
+		r.wait = parseMicros(value)
+	case runningField:
+		r.load.Running, _ = strconv.Atoi(value)
+	case waitingField:
+		r.load.Waiting, _ = strconv.Atoi(value)
+	case slotsField:
+		r.load.Slots, _ = strconv.Atoi(value)
+	case durationField:
+		r.load.Duration = parseMicros(value)
+	case failuresField:
+		n, _ := strconv.Atoi(value)
+		r.load.Failures = float64(n) / permille
+	case calleeField:
+		r.callees = append(r.callees, value)
+	case calleeOverloadedField:
+		r.calleeOverloaded = true
+	}
+}
+
 func formatMicros(d time.Duration) string {
 	return strconv.FormatInt(d.Microseconds(), 10)
 }
