--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -104,6 +104,10 @@
 
 // set sets the field with the given name. Unknown ones are ignored.
 func (h *hop) set(name, value string) {
+	if f := h.flag(name); f != nil {
+		*f = true
+		return
+	}
 	switch name {
 	case purposeField:
 		h.purpose = purpose(value)
@@ -121,21 +125,28 @@
 		h.priority, _ = strconv.Atoi(value)
 	case objectiveField:
 		h.objective = parseMicros(value)
+	case fingerprintField:
+		h.fingerprint = parseFingerprint(value)
+	}
+}
+
+// flag returns the flag with the given name, or nil if there is none.
+func (h *hop) flag(name string) *bool {
+	switch name {
 	case immediateField:
-		h.immediate = true
+		return &h.immediate
 	case nestedField:
-		h.nested = true
+		return &h.nested
 	case repeatableField:
-		h.repeatable = true
+		return &h.repeatable
 	case repeatField:
-		h.repeat = true
+		return &h.repeat
 	case abandonOverdueField:
-		h.abandonOverdue = true
+		return &h.abandonOverdue
 	case boundedField:
-		h.bounded = true
-	case fingerprintField:
-		h.fingerprint = parseFingerprint(value)
+		return &h.bounded
 	}
+	return nil
 }
 
 // ForHome reports whether a call from another node is addressed to the home node of
