Announce the first target of a node to many members at once

Cause: when all nodes start together, each call needs an entry that knows a target, and rumors reach two members every 200 ms.

Change: a node sends its record to up to 16 members when its first target has come and when it has joined.

gossiper TestFirstTargetIsAnnouncedAtOnce.

--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -27,6 +27,10 @@
 	// configuration. If each of them does the same, all but one member in a
 	// thousand are reached.
 	hintFanOut = 4
+	// announceFanOut is the number of members that are sent this node's record at once
+	// when it has joined and when its first target has come. All nodes of a small mesh
+	// that start together thus know all targets after one packet.
+	announceFanOut = 16
 	// rumorBytesPerS and rumorBurst limit the bytes spent on rumors, so that
 	// traffic stays near the control byte budget when a data centre is lost.
 	rumorBytesPerS = 800
@@ -423,6 +427,17 @@
 	return o
 }
 
+// announcements returns rumors with this node's own record.
+func (c *Core) announcements() []Outgoing {
+	var o []Outgoing
+	for _, m := range c.pick(announceFanOut, "") {
+		p := c.packet(Rumor)
+		p.Members = []Member{c.self}
+		o = append(o, Outgoing{Address: m.PeerAddress, Packet: p})
+	}
+	return o
+}
+
 func (c *Core) packet(k Kind) Packet {
 	c.number++
 	p := Packet{
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -82,6 +82,7 @@
 	r.mergeRecords("", a.GetMembers())
 	if joining {
 		r.scheduleComparison(address)
+		r.gossiper.announce()
 	}
 	q := r.compareSummaries(a)
 	if len(q.GetMembers()) == 0 && len(q.GetWanted()) == 0 {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -81,11 +81,28 @@
 
 // Update replaces the node's own record by the result of f.
 func (g *Gossiper) Update(f func(Member) Member) {
+	if g.update(f) {
+		g.announce()
+	}
+}
+
+// update reports whether the record has its first target now.
+func (g *Gossiper) update(f func(Member) Member) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.core.UpdateSelf(f(g.core.Self()), time.Now())
+	before := g.core.Self()
+	g.core.UpdateSelf(f(before), time.Now())
 	g.refresh()
 	g.wake()
+	return len(before.Targets) == 0 && len(g.core.Self().Targets) > 0
+}
+
+// announce sends the node's own record to members at once.
+func (g *Gossiper) announce() {
+	g.mu.Lock()
+	o := g.core.announcements()
+	g.mu.Unlock()
+	g.send(o)
 }
 
 // SetConfiguration sets the configuration that this node advertises as its own.
--- a/internal/gossiper/wake_test.go
+++ b/internal/gossiper/wake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -66,3 +67,44 @@
 		}
 	})
 }
+
+// countingSocket counts the packets that carry a target's address.
+type countingSocket struct {
+	silentSocket
+
+	sent *int
+}
+
+func (s countingSocket) WriteTo(b []byte, _ net.Addr) (int, error) {
+	p, err := DecodePacket(b)
+	if err == nil && len(p.Members) == 1 && len(p.Members[0].Targets) > 0 {
+		*s.sent++
+	}
+	return len(b), nil
+}
+
+// TestFirstTargetIsAnnouncedAtOnce covers the moment after all nodes have started
+// together: calls fail until their entries know targets, and rumors take a few periods.
+func TestFirstTargetIsAnnouncedAtOnce(t *testing.T) {
+	var m meter.Traffic
+	sent := 0
+	g := New(Member{Node: "n", PeerAddress: "127.0.0.1:1", Incarnation: 1}, countingSocket{sent: &sent}, &m)
+	const others = 13
+	for i := range others {
+		a := fmt.Sprintf("127.0.0.1:%d", 100+i)
+		g.core.Merge("", []Member{{Node: a, PeerAddress: a, Incarnation: 1}}, time.Now())
+	}
+	add := func(address string) int {
+		sent = 0
+		g.Update(func(m Member) Member {
+			return m.WithTargets(append(m.Targets, Target{Service: "s", Address: address}))
+		})
+		return sent
+	}
+	if n := add("127.0.0.1:80"); n != others {
+		t.Errorf("the first target was announced to %d members at once, expected %d", n, others)
+	}
+	if n := add("127.0.0.1:81"); n != 0 {
+		t.Errorf("another target was announced to %d members at once, expected 0", n)
+	}
+}
