--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -31,10 +31,7 @@
 	// watchWait limits how long a dead connection to the store goes undetected. It
 	// and the timeout of a call must together stay below the time within which a
 	// configuration has to be in force.
-	watchWait = 3 * time.Second
-	// changePause is the longest pause of a relay after a change. Changes in quick
-	// succession are read together then, by whichever relay watches again first.
-	changePause    = 300 * time.Millisecond
+	watchWait      = 3 * time.Second
 	listPeriod     = 10 * time.Second
 	electionPeriod = 250 * time.Millisecond
 	rankDelay      = time.Second
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -35,14 +34,11 @@
 			continue
 		}
 		b.Reset()
-		switch {
-		case changed && known:
-			sleeper.Sleep(ctx, changePause/2+rand.N(changePause/2))
-		case !changed && time.Since(begun) < initialBackoff:
+		held, known = v, true
+		if !changed && time.Since(begun) < initialBackoff {
 			// The store answered at once without a change; avoid a busy loop.
 			sleeper.Sleep(ctx, initialBackoff)
 		}
-		held, known = v, true
 	}
 }
 
