--- a/internal/cli/reloader.go
+++ b/internal/cli/reloader.go
@@ -29,7 +29,7 @@
 	defer t.Stop()
 	held, err := os.ReadFile(path)
 	if err != nil {
-		klog.ErrorS(err, "Settings can not be read", "path", path)
+		klog.ErrorS(err, "Settings cannot be read", "path", path)
 	}
 	for {
 		cause := "changed"
@@ -42,7 +42,7 @@
 		}
 		b, err := os.ReadFile(path)
 		if err != nil {
-			klog.ErrorS(err, "Settings can not be read", "path", path)
+			klog.ErrorS(err, "Settings cannot be read", "path", path)
 			continue
 		}
 		if cause != "signal" && bytes.Equal(b, held) {
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -69,8 +69,8 @@
 	FanOut int
 	// Verbosity is the log level, 0 to 4.
 	Verbosity int
-	// Service is the name of the service beside this node. Targets are told it
-	// as the origin of a request.
+	// Service is the name of the service beside this node. Targets receive it as
+	// the origin of a request.
 	Service string
 	// TargetAddress is the address of the target beside this node; empty if it
 	// is not known in advance.
--- a/internal/forwarder/cut_test.go
+++ b/internal/forwarder/cut_test.go
@@ -21,7 +21,7 @@
 		answer func(id string) string
 		reset  bool
 		// closes means that the body ends with the connection, so that a truncated body
-		// can not be distinguished from a complete one.
+		// cannot be distinguished from a complete one.
 		closes bool
 	}{
 		{"a Content-Length", func(id string) string { return signed(id) + "Content-Length: 4\r\n\r\nabcd" }, false, false},
@@ -70,7 +70,7 @@
 
 // TestLostAnswersAreNotReportedAsNotRun loses or corrupts the answer to a request that
 // must not be repeated, at various points. The request must run once, and the caller
-// must not be told that it has not run.
+// must not get an answer which says that it has not run.
 func TestLostAnswersAreNotReportedAsNotRun(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/forwarder/deadline_test.go
+++ b/internal/forwarder/deadline_test.go
@@ -16,7 +16,7 @@
 
 // TestPausedProcessesDoNotUseAnOldDeadline sends calls whose deadline passed while the
 // process or its VM was suspended, before the timers of the deadline have fired. They
-// must not reach a target, and callers must be told that they have not run.
+// must not reach a target, and the answer must say that they have not run.
 func TestPausedProcessesDoNotUseAnOldDeadline(t *testing.T) {
 	now := time.Now()
 	total := sleeper.UpdateSuspension()
--- a/internal/forwarder/outage.go
+++ b/internal/forwarder/outage.go
@@ -97,7 +97,7 @@
 	}
 	if e.outages.add(p.PeerAddress, time.Now()) {
 		e.peers.CloseIdle(p.PeerAddress)
-		klog.InfoS("Node can not be reached", "peer", p.Node, "address", p.PeerAddress, "cause", err)
+		klog.InfoS("Node cannot be reached", "peer", p.Node, "address", p.PeerAddress, "cause", err)
 	}
 }
 
--- a/internal/forwarder/paced.go
+++ b/internal/forwarder/paced.go
@@ -14,7 +14,7 @@
 type pacedWriter struct {
 	http.ResponseWriter
 
-	ctx  context.Context //nolint:containedctx // lives as long as one answer
+	ctx  context.Context //nolint:containedctx // used for one answer only
 	link *pacer.Uplink
 }
 
--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -61,7 +61,7 @@
 	node     string
 	sent     time.Time
 	indirect bool
-	// suspicionSent reports whether the ping told the member that it is suspected.
+	// suspicionSent reports whether the ping carried the suspicion to the member.
 	suspicionSent bool
 }
 
--- a/internal/imitator/store.go
+++ b/internal/imitator/store.go
@@ -1,5 +1,5 @@
 // Package imitator stands in for the platform's key-value service in tests,
-// measurements and the demo. It keeps everything in memory and can be told to
+// measurements and the demo. It keeps everything in memory and can be set to
 // fail in the ways the real service does.
 package imitator
 
--- a/internal/imitator/target.go
+++ b/internal/imitator/target.go
@@ -28,7 +28,7 @@
 )
 
 // Target stands in for a service's target. It records every run of every
-// request, so that a history can be checked against what callers were told.
+// request, so that a history can be checked against what callers got.
 //
 // The query parameters of a request say how it behaves: sleep_ms delays the
 // answer, bytes makes it that long, pace_ms spreads it, cut_after breaks it
@@ -232,7 +232,7 @@
 func pour(w http.ResponseWriter, kind string) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
-		klog.ErrorS(err, "Connection can not be taken over")
+		klog.ErrorS(err, "Connection cannot be hijacked")
 		return
 	}
 	defer func() { _ = c.Close() }()
--- a/internal/runner/reload.go
+++ b/internal/runner/reload.go
@@ -12,7 +12,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
-// Reload takes in settings that were read again. What a running node can not
+// Reload applies settings that were read again. What a running node cannot
 // change, such as its addresses, is logged and waits for the next start.
 func (n *Node) Reload(s configurer.Settings) {
 	o := n.live.Swap(&s)
@@ -24,7 +24,7 @@
 	n.entry.SetLocalService(s.Service)
 }
 
-// fixed returns the part of s that a running node can not change.
+// fixed returns the part of s that a running node cannot change.
 func (n *Node) fixed(s configurer.Settings) configurer.Settings {
 	s.StoreAddress = ""
 	s.Service = ""
--- a/scenarios/history_test.go
+++ b/scenarios/history_test.go
@@ -63,7 +63,7 @@
 	}
 	var h history
 	for _, n := range m.names {
-		for i := range m.processes[n].lives + 1 {
+		for i := range m.processes[n].restarts + 1 {
 			if _, err := m.readHistory(&h, n, i); err != nil {
 				return err
 			}
@@ -81,7 +81,7 @@
 		if err != nil {
 			return err
 		}
-		g, err := m.readHistory(&history{}, p.name, p.lives)
+		g, err := m.readHistory(&history{}, p.name, p.restarts)
 		if err != nil {
 			return err
 		}
@@ -92,8 +92,8 @@
 	return nil
 }
 
-func (m *mesh) readHistory(h *history, name string, life int) (uint64, error) {
-	f := fmt.Sprintf("%s.%d.log", name, life)
+func (m *mesh) readHistory(h *history, name string, restarts int) (uint64, error) {
+	f := fmt.Sprintf("%s.%d.log", name, restarts)
 	b, err := os.ReadFile(filepath.Join(m.dir, f))
 	if err != nil {
 		return 0, err
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -16,8 +16,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// told is what a caller was told of one request.
-type told struct {
+// result is what a caller got for one request.
+type result struct {
 	id      string
 	method  string
 	status  int
@@ -32,10 +32,10 @@
 
 // load is a crowd of callers.
 type load struct {
-	mu     sync.Mutex
-	told   []told
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
+	mu      sync.Mutex
+	results []result
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
 }
 
 const callersPerNode = 8
@@ -54,7 +54,7 @@
 		m.load = &load{}
 	}
 	m.load.cancel = cancel
-	round := len(m.load.told)
+	round := len(m.load.results)
 	for i := range callersPerNode * len(args[2:]) {
 		n := args[2+i%len(args[2:])]
 		u := "http://" + m.address(n+".caller")
@@ -71,7 +71,7 @@
 // request makes one request and records what came back. It is never cut short
 // by the end of the load.
 func (l *load) request(base, id, query string) {
-	t := told{id: id, method: http.MethodGet, at: time.Now()}
+	t := result{id: id, method: http.MethodGet, at: time.Now()}
 	if strings.HasSuffix(id, "1") || strings.HasSuffix(id, "3") || strings.HasSuffix(id, "7") {
 		t.method = http.MethodPost
 	}
@@ -85,14 +85,14 @@
 	q.GetBody = nil
 	t.read(client.Do(q))
 	l.mu.Lock()
-	l.told = append(l.told, t)
+	l.results = append(l.results, t)
 	l.mu.Unlock()
 	if t.status != http.StatusOK {
 		time.Sleep(5 * time.Millisecond)
 	}
 }
 
-func (t *told) read(r *http.Response, err error) {
+func (t *result) read(r *http.Response, err error) {
 	if err != nil {
 		t.broken = err.Error()
 		return
@@ -114,24 +114,24 @@
 	}
 }
 
-// verifyCommand compares what callers were told with what targets have run:
+// verifyCommand compares what callers got with what targets have run:
 // verify [MAX_FAILED]. A request that was answered ran, and once if it is not
 // idempotent; one that was refused as not run did not run at all.
 func verifyCommand(ts *testscript.TestScript, _ bool, args []string) {
 	m := meshOf(ts)
 	runs := m.runs(ts)
 	failed := 0
-	for _, t := range m.load.told {
+	for _, t := range m.load.results {
 		if err := t.check(runs[t.id]); err != nil {
-			ts.Fatalf("request %s (%s, told %d %s %s): %v", t.id, t.method, t.status, t.verdict, t.broken, err)
+			ts.Fatalf("request %s (%s, answered %d %s %s): %v", t.id, t.method, t.status, t.verdict, t.broken, err)
 		}
 		if t.status != http.StatusOK {
 			failed++
 			ts.Logf("failed: %s %s: %d %s %s", t.method, t.id, t.status, t.verdict, t.broken)
 		}
 	}
-	ts.Logf("%d requests, %d failed", len(m.load.told), failed)
-	if len(m.load.told) == 0 {
+	ts.Logf("%d requests, %d failed", len(m.load.results), failed)
+	if len(m.load.results) == 0 {
 		ts.Fatalf("no request was made")
 	}
 	if len(args) > 0 && fmt.Sprint(failed) != args[0] {
@@ -139,7 +139,7 @@
 	}
 }
 
-func (t told) check(runs int) error {
+func (t result) check(runs int) error {
 	switch {
 	case t.wrong != "":
 		return fmt.Errorf("wrong answer %s", t.wrong)
--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -37,7 +37,8 @@
 	done    chan struct{}
 	frozen  bool
 	log     string
-	lives   int
+	// restarts is how often the program was started before.
+	restarts int
 }
 
 // mesh is what one script has started.
@@ -125,12 +126,12 @@
 
 func (m *mesh) start(name string, args ...string) error {
 	old := m.processes[name]
-	lives := 0
+	restarts := 0
 	if old != nil {
-		lives = old.lives + 1
+		restarts = old.restarts + 1
 	}
-	p := &process{name: name, done: make(chan struct{}), lives: lives}
-	p.log = filepath.Join(m.dir, fmt.Sprintf("%s.%d.log", name, lives))
+	p := &process{name: name, done: make(chan struct{}), restarts: restarts}
+	p.log = filepath.Join(m.dir, fmt.Sprintf("%s.%d.log", name, restarts))
 	f, err := os.Create(p.log)
 	if err != nil {
 		return err
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -98,10 +98,10 @@
 	keepers, callers sync.WaitGroup
 
 	// guard protects the processes of the mesh and what follows.
-	guard  sync.Mutex
-	told   []told
-	drains []leaving
-	failed error
+	guard   sync.Mutex
+	results []result
+	drains  []leaving
+	failed  error
 }
 
 // leaving is a target whose node confirmed that it drains.
@@ -128,7 +128,7 @@
 	stop()
 	s.callers.Wait()
 	s.must(s.verify(calm))
-	t.Logf("seed %d: %d requests", seed, len(s.told))
+	t.Logf("seed %d: %d requests", seed, len(s.results))
 }
 
 // must ends the play with an error, and keeps its logs.
@@ -374,7 +374,7 @@
 // call makes a request, each second one POST, and records what came back.
 func (s *soak) call(c *http.Client, node, id string, k int) {
 	query := queryOf(k)
-	v := told{id: id, method: http.MethodGet, at: time.Now(), endless: strings.HasPrefix(query, "?endless")}
+	v := result{id: id, method: http.MethodGet, at: time.Now(), endless: strings.HasPrefix(query, "?endless")}
 	if k%2 == 1 {
 		v.method = http.MethodPost
 	}
@@ -407,26 +407,26 @@
 		v.wrong = "an answer without end was passed on as whole"
 	}
 	s.guard.Lock()
-	s.told = append(s.told, v)
+	s.results = append(s.results, v)
 	s.guard.Unlock()
 	if v.status != http.StatusOK {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// watchGenerations checks while the soak runs that no life of a node goes back to
+// watchGenerations checks while the soak runs that no process of a node goes back to
 // an older configuration.
 func (s *soak) watchGenerations(ctx context.Context) {
-	type life struct {
-		node string
-		life int
+	type run struct {
+		node     string
+		restarts int
 	}
-	seen := make(map[life]uint64)
+	seen := make(map[run]uint64)
 	for ctx.Err() == nil {
 		for _, n := range s.nodes {
-			l := life{n, s.process(n).lives}
+			l := run{n, s.process(n).restarts}
 			d, err := s.dump(n)
-			if err != nil || l.life != s.process(n).lives {
+			if err != nil || l.restarts != s.process(n).restarts {
 				continue
 			}
 			if d.Generation < seen[l] {
@@ -438,7 +438,7 @@
 	}
 }
 
-// verify compares what callers were told with what targets ran. Planned stops
+// verify compares what callers got with what targets ran. Planned stops
 // after calm, with nothing else going on, cut nothing off.
 func (s *soak) verify(calm time.Time) error {
 	j, err := s.journals()
@@ -451,9 +451,9 @@
 			runs[e.request]++
 		}
 	}
-	for _, v := range s.told {
+	for _, v := range s.results {
 		if e := v.check(runs[v.id]); e != nil {
-			err = errors.Join(err, fmt.Errorf("request %s (%s, told %d %s %s): %w", v.id, v.method, v.status, v.verdict, v.broken, e))
+			err = errors.Join(err, fmt.Errorf("request %s (%s, answered %d %s %s): %w", v.id, v.method, v.status, v.verdict, v.broken, e))
 		}
 		if v.at.After(calm) && v.broken != "" && !v.endless && runs[v.id] > 0 {
 			err = errors.Join(err, fmt.Errorf("request %s was cut by a planned stop: %s", v.id, v.broken))
