--- a/internal/accepter/state.go
+++ b/internal/accepter/state.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 )
 
 // HistoryLength is the number of recent operations that a state keeps.
@@ -182,17 +182,17 @@
 func (s State) withdraw(o Operation) (State, error) {
 	e, ok := s.Entry(o.Profile)
 	if !ok {
-		return s, judge.Error(judge.NotFound, judge.NotRun, "profile %q is not in force", o.Profile)
+		return s, classifier.Error(classifier.NotFound, classifier.NotRun, "profile %q is not in force", o.Profile)
 	}
 	if e.Withdrawn() && e.Fallback == o.Fallback {
 		return s, nil
 	}
 	f, ok := s.Serving(o.Fallback)
 	if !ok || o.Fallback == o.Profile {
-		return s, judge.Error(judge.Invalid, judge.NotRun, "fallback %q is not in force", o.Fallback)
+		return s, classifier.Error(classifier.Invalid, classifier.NotRun, "fallback %q is not in force", o.Fallback)
 	}
 	if f.Profile == o.Profile {
-		return s, judge.Error(judge.Invalid, judge.NotRun, "fallback %q is served by %q itself", o.Fallback, o.Profile)
+		return s, classifier.Error(classifier.Invalid, classifier.NotRun, "fallback %q is served by %q itself", o.Fallback, o.Profile)
 	}
 	return s.WithOperation(o), nil
 }
--- a/internal/judge/verdict.go
+++ b/internal/classifier/verdict.go
@@ -1,6 +1,6 @@
-// Package judge defines the error types of the system and classifies errors by
+// Package classifier defines the error types of the system and classifies errors by
 // whether the failed request may have been executed.
-package judge
+package classifier
 
 import (
 	"errors"
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,7 +13,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/joomcode/errorx"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 )
 
@@ -80,7 +80,7 @@
 }
 
 // errIncomplete reports a change that is not yet in force everywhere.
-var errIncomplete = judge.Unavailable.NewSubtype("incomplete")
+var errIncomplete = classifier.Unavailable.NewSubtype("incomplete")
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errs io.Writer) int {
@@ -147,11 +147,11 @@
 	_, _ = fmt.Fprintln(errs, "error: "+message(err))
 	var p parser.Problems
 	switch {
-	case errors.As(err, &p), judge.Is(err, judge.Invalid):
+	case errors.As(err, &p), classifier.Is(err, classifier.Invalid):
 		return ExitUsage
-	case judge.Is(err, errIncomplete):
+	case classifier.Is(err, errIncomplete):
 		return ExitIncomplete
-	case judge.VerdictOf(err) == judge.NotRun:
+	case classifier.VerdictOf(err) == classifier.NotRun:
 		return ExitRefused
 	}
 	return ExitUnknown
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -11,11 +11,11 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/configurer"
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/imitator"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 	"github.com/dragonflydoor/dragonflydoor/internal/runner"
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := d.start(ctx, e); err != nil {
-		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "demo")
+		return classifier.Wrap(err, classifier.Unavailable, classifier.NotRun, "demo")
 	}
 	if err := d.promote(ctx); err != nil {
 		return err
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -8,9 +8,9 @@
 
 	"github.com/go-resty/resty/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/configurer"
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 )
 
@@ -127,7 +127,7 @@
 
 func (c *validateCommand) run(_ context.Context, e *environment) error {
 	if len(c.Settings)+len(c.Profiles) == 0 {
-		return judge.Error(judge.Invalid, judge.NotRun, "nothing to validate: name profiles, or settings with --settings")
+		return classifier.Error(classifier.Invalid, classifier.NotRun, "nothing to validate: name profiles, or settings with --settings")
 	}
 	var all parser.Problems
 	for _, f := range c.Settings {
@@ -152,10 +152,10 @@
 func (c *dumpCommand) run(ctx context.Context, e *environment) error {
 	r, err := resty.New().SetTimeout(relayTimeout).R().SetContext(ctx).Get("http://" + c.Node + "/v1/dump")
 	if err != nil {
-		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "dump")
+		return classifier.Wrap(err, classifier.Unavailable, classifier.NotRun, "dump")
 	}
 	if r.IsError() {
-		return judge.Error(judge.Unavailable, judge.NotRun, "dump: %s", r.Status())
+		return classifier.Error(classifier.Unavailable, classifier.NotRun, "dump: %s", r.Status())
 	}
 	_, err = e.out.Write(r.Body())
 	return err
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/configurer"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/logger"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 	"github.com/dragonflydoor/dragonflydoor/internal/runner"
@@ -25,7 +25,7 @@
 	defer stop()
 	n, err := runner.New(s, ownSurroundings())
 	if err != nil {
-		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
+		return classifier.Wrap(err, classifier.Unavailable, classifier.NotRun, "node")
 	}
 	group.Go(func() { followSettings(ctx, c.Settings, configurer.Parse, n.Reload) })
 	n.Run(ctx, e.again)
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
@@ -49,7 +49,7 @@
 	case "json":
 		return json.NewEncoder(w).Encode(v)
 	}
-	return judge.Error(judge.Invalid, judge.NotRun, "--output %s: expected text or json", o.Output)
+	return classifier.Error(classifier.Invalid, classifier.NotRun, "--output %s: expected text or json", o.Output)
 }
 
 // check refuses an unknown form before anything is done.
@@ -66,7 +66,7 @@
 func readProfile(path string) (router.Profile, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return router.Profile{}, judge.Wrap(err, judge.Invalid, judge.NotRun, "profile")
+		return router.Profile{}, classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "profile")
 	}
 	p, err := encoder.DecodeProfile(b)
 	if err != nil {
--- a/internal/cli/promote.go
+++ b/internal/cli/promote.go
@@ -6,7 +6,7 @@
 	"io"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/publisher"
 )
 
@@ -57,7 +57,7 @@
 	defer cancel()
 	o, err := f(ctx, c.publisher())
 	if err != nil {
-		if judge.VerdictOf(err) == judge.MayHaveRun {
+		if classifier.VerdictOf(err) == classifier.MayHaveRun {
 			_, _ = fmt.Fprintf(e.err, "The outcome is unknown. Ask again with --operation %s.\n", c.ID)
 		}
 		return err
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/runner"
 	"github.com/dragonflydoor/dragonflydoor/platform"
 )
@@ -20,13 +20,13 @@
 	}
 	s, err := platform.LoadSettings(f)
 	if err != nil {
-		return judge.Wrap(err, judge.Invalid, judge.NotRun, "settings %s", f)
+		return classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "settings %s", f)
 	}
 	stop := startLog(e, s.Verbosity)
 	defer stop()
 	n, err := runner.New(s, platformSurroundings())
 	if err != nil {
-		return judge.Wrap(err, judge.Unavailable, judge.NotRun, "node")
+		return classifier.Wrap(err, classifier.Unavailable, classifier.NotRun, "node")
 	}
 	group.Go(func() { tuneMemory(ctx, s) })
 	group.Go(func() { followSettings(ctx, f, platform.DecodeSettings, n.Reload) })
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/connector"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/messenger"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
@@ -170,7 +170,7 @@
 		select {
 		case <-time.After(waitPeriod):
 		case <-ctx.Done():
-			return t, judge.Error(errIncomplete, judge.MayHaveRun,
+			return t, classifier.Error(errIncomplete, classifier.MayHaveRun,
 				"accepted, but only %d of %d nodes are known to hold it; late: %s", t.hold, t.known, strings.Join(t.late, ", "))
 		}
 	}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 	"github.com/dragonflydoor/dragonflydoor/internal/validator"
@@ -166,7 +166,7 @@
 func Load(path string) (Settings, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, judge.Wrap(err, judge.Invalid, judge.NotRun, "configurer: read settings file")
+		return Settings{}, classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "configurer: read settings file")
 	}
 	return Parse(b)
 }
--- a/internal/deduplicator/table.go
+++ b/internal/deduplicator/table.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 )
 
 const (
@@ -143,7 +143,7 @@
 	c.answer = answer
 	c.err = err
 	c.ended = now
-	if err != nil && judge.VerdictOf(err) == judge.NotRun {
+	if err != nil && classifier.VerdictOf(err) == classifier.NotRun {
 		delete(t.claims, u.Key)
 	}
 	close(c.done)
@@ -176,10 +176,10 @@
 }
 
 // errAnswerDropped reports that a request has run but its answer is no longer stored.
-var errAnswerDropped = judge.Interrupted.NewSubtype("forgotten")
+var errAnswerDropped = classifier.Interrupted.NewSubtype("forgotten")
 
 func (c *Claim[A]) dropAnswer() {
 	var zero A
 	c.answer = zero
-	c.err = judge.Error(errAnswerDropped, judge.MayHaveRun, "the request has run; its answer is no longer kept")
+	c.err = classifier.Error(errAnswerDropped, classifier.MayHaveRun, "the request has run; its answer is no longer kept")
 }
--- a/internal/deduplicator/table_test.go
+++ b/internal/deduplicator/table_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 )
 
 var start = time.UnixMilli(1_800_000_000_000)
@@ -72,7 +72,7 @@
 	var b Table[int]
 	u := use("k", start.Add(-time.Hour))
 	c, _ := b.Begin(u, start)
-	b.End(u, c, 0, judge.Error(judge.Overloaded, judge.NotRun, "shed"), start)
+	b.End(u, c, 0, classifier.Error(classifier.Overloaded, classifier.NotRun, "shed"), start)
 	if _, s := b.Begin(u, start); s != First {
 		t.Errorf("after a request that has not run: got %d", s)
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -9,10 +9,10 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/balancer"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
@@ -41,7 +41,7 @@
 )
 
 // errNoTarget reports that no target is left to try.
-var errNoTarget = judge.Unavailable.NewSubtype("no_target")
+var errNoTarget = classifier.Unavailable.NewSubtype("no_target")
 
 // run makes attempts until one is answered or no retry is allowed.
 func (e *Entry) run(j *job) (*answer, error) {
@@ -49,7 +49,7 @@
 	var failure *answer
 	for {
 		a, err := e.offer(j)
-		if j.retryGranted && notSent(err) && judge.Is(err, judge.Overloaded) && e.waitToReoffer(j) {
+		if j.retryGranted && notSent(err) && classifier.Is(err, classifier.Overloaded) && e.waitToReoffer(j) {
 			continue
 		}
 		if err == nil && (a.status < http.StatusInternalServerError || !j.repeatable()) {
@@ -83,10 +83,10 @@
 // shouldRetry reports whether a request that failed with err, or got the error
 // response a if err is nil, is sent to another target.
 func (e *Entry) shouldRetry(j *job, a *answer, err error) bool {
-	v := judge.MayHaveRun
+	v := classifier.MayHaveRun
 	if err != nil {
 		j.failure = err
-		v = judge.VerdictOf(err)
+		v = classifier.VerdictOf(err)
 	}
 	t := retrier.Attempt{
 		Number:     j.sends,
@@ -95,7 +95,7 @@
 		Replayable: j.body.replayable(),
 	}
 	switch {
-	case judge.Is(err, errCrashed), judge.Is(err, errQuarantined), judge.Is(err, errNoTarget), notSent(err):
+	case classifier.Is(err, errCrashed), classifier.Is(err, errQuarantined), classifier.Is(err, errNoTarget), notSent(err):
 		return false
 	case j.ctx.Err() != nil || time.Until(j.deadline) < max(answerHopTime, e.balancer.Typical(j.route.Name)/2):
 		// Few requests take less than half of the usual duration.
@@ -111,13 +111,13 @@
 	if !t.Allowed(j.route.Attempts(j.service)) {
 		return false
 	}
-	return judge.Is(err, errOverdue) || e.budget.Withdraw(j.service, j.chance(), e.nodes(), time.Now())
+	return classifier.Is(err, errOverdue) || e.budget.Withdraw(j.service, j.chance(), e.nodes(), time.Now())
 }
 
 // notSent reports whether no gate sent the request to its target, so that trying
 // another one adds no load to targets.
 func notSent(err error) bool {
-	return err != nil && judge.VerdictOf(err) == judge.NotRun && !judge.Is(err, errRejected)
+	return err != nil && classifier.VerdictOf(err) == classifier.NotRun && !classifier.Is(err, errRejected)
 }
 
 // offer asks one gate after another to accept the request: first those that seem to
@@ -136,7 +136,7 @@
 			clear(j.refused)
 		}
 		a, err := e.attempt(j, p, immediate)
-		if !notSent(err) || judge.Is(err, errQuarantined) {
+		if !notSent(err) || classifier.Is(err, errQuarantined) {
 			return a, err
 		}
 		refusal = shorterWait(refusal, err)
@@ -150,7 +150,7 @@
 		}
 	}
 	if refusal == nil {
-		refusal = judge.Error(errNoTarget, judge.NotRun, "service %q has no target to try", j.service.Name)
+		refusal = classifier.Error(errNoTarget, classifier.NotRun, "service %q has no target to try", j.service.Name)
 	}
 	return nil, refusal
 }
@@ -160,8 +160,8 @@
 	if a == nil {
 		return b
 	}
-	x, ok := judge.WaitOf(a)
-	y, k := judge.WaitOf(b)
+	x, ok := classifier.WaitOf(a)
+	y, k := classifier.WaitOf(b)
 	if !ok || (k && y < x) {
 		return b
 	}
@@ -232,7 +232,7 @@
 	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
 	a, err := e.send(ctx, c, p)
 	end(outcomeOf(ctx, a, err), time.Now())
-	if c.abandonOverdue && !judge.Is(err, errOverdue) {
+	if c.abandonOverdue && !classifier.Is(err, errOverdue) {
 		e.budget.Refund(p.Service, e.nodes())
 	}
 	if err != nil {
@@ -251,15 +251,15 @@
 // recordFailure logs a failed attempt and records it in j for later attempts.
 func (e *Entry) recordFailure(j *job, p gossiper.Endpoint, err error) {
 	e.lines.Info("Attempt failed", "request", j.id, "route", j.route.Name, "target", p.Address, "node", p.Node,
-		"verdict", judge.VerdictOf(err), "reason", reasonOf(err), "cause", messageOf(err), "left", time.Until(j.deadline).Round(time.Millisecond))
+		"verdict", classifier.VerdictOf(err), "reason", reasonOf(err), "cause", messageOf(err), "left", time.Until(j.deadline).Round(time.Millisecond))
 	if notSent(err) {
 		j.refused[p.Address] = true
-		j.refusedForLoad = j.refusedForLoad || judge.Is(err, judge.Overloaded)
+		j.refusedForLoad = j.refusedForLoad || classifier.Is(err, classifier.Overloaded)
 		return
 	}
 	j.sends++
 	j.sentTo[p.Address] = true
-	j.mayHaveRun = j.mayHaveRun || judge.VerdictOf(err) == judge.MayHaveRun
+	j.mayHaveRun = j.mayHaveRun || classifier.VerdictOf(err) == classifier.MayHaveRun
 }
 
 // send sends c to the gate of endpoint p, on this node or another one.
@@ -273,12 +273,12 @@
 		return a, err
 	}
 	a, err := e.sendRemote(ctx, c, p)
-	if err == nil || c.repeatable || judge.VerdictOf(err) == judge.NotRun || !judge.Is(err, judge.Interrupted) || ctx.Err() != nil {
+	if err == nil || c.repeatable || classifier.VerdictOf(err) == classifier.NotRun || !classifier.Is(err, classifier.Interrupted) || ctx.Err() != nil {
 		return a, err
 	}
 	var x *exchanger.Error
 	if errors.As(err, &x) && e.settle(ctx, c, p) {
-		return nil, judge.Wrap(err, errUnreachable, judge.NotRun, "node %s had not begun the call", p.Node)
+		return nil, classifier.Wrap(err, errUnreachable, classifier.NotRun, "node %s had not begun the call", p.Node)
 	}
 	return nil, err
 }
@@ -308,7 +308,7 @@
 	t, ok := parseReport(r.Header.Get(HopHeader))
 	if !ok {
 		_ = r.Body.Close()
-		return nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "node %s answered without %s", p.Node, HopHeader)
+		return nil, classifier.Error(classifier.Interrupted, classifier.MayHaveRun, "node %s answered without %s", p.Node, HopHeader)
 	}
 	if t.load != (gatekeeper.Load{}) {
 		now := time.Now()
@@ -353,7 +353,7 @@
 	defer func() { _ = r.Body.Close() }()
 	t, ok := parseReport(r.Header.Get(HopHeader))
 	_, _ = bufferAnswer(r, q.method)
-	return ok && t.refused && t.verdict == judge.NotRun
+	return ok && t.refused && t.verdict == classifier.NotRun
 }
 
 // refusalError converts a refusal by another node's gate to an error.
@@ -362,9 +362,9 @@
 	if m == "" || len(m) > maxRefusalMessageBytes {
 		m = string(t.reason)
 	}
-	err := judge.Error(errorTypeOf(t.reason), t.verdict, "target %s of node %s: %s", p.Address, p.Node, m)
+	err := classifier.Error(errorTypeOf(t.reason), t.verdict, "target %s of node %s: %s", p.Address, p.Node, m)
 	if t.wait > 0 {
-		err = judge.WithWait(err, t.wait)
+		err = classifier.WithWait(err, t.wait)
 	}
 	return err
 }
@@ -373,17 +373,17 @@
 	switch {
 	case err == nil && a.status < http.StatusInternalServerError:
 		return balancer.Answered
-	case err == nil, judge.Is(err, errRejected):
+	case err == nil, classifier.Is(err, errRejected):
 		return balancer.Failed
-	case judge.Is(err, errQuarantined):
+	case classifier.Is(err, errQuarantined):
 		return balancer.Answered
-	case judge.Is(err, judge.Overloaded):
+	case classifier.Is(err, classifier.Overloaded):
 		return balancer.Shed
-	case judge.Is(err, errUnreachable) && ctx.Err() == nil:
+	case classifier.Is(err, errUnreachable) && ctx.Err() == nil:
 		return balancer.Unreachable
-	case ctx.Err() != nil, judge.Is(err, judge.TimedOut), judge.Is(err, errOverdue):
+	case ctx.Err() != nil, classifier.Is(err, classifier.TimedOut), classifier.Is(err, errOverdue):
 		return balancer.Cancelled
-	case judge.Is(err, judge.Unavailable), judge.Is(err, judge.NotFound):
+	case classifier.Is(err, classifier.Unavailable), classifier.Is(err, classifier.NotFound):
 		return balancer.Departed
 	}
 	return balancer.Failed
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/arbiter"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
@@ -40,7 +40,7 @@
 	if now.Before(c.deadline) && now.Add(c.mark.Suspended()).Before(c.deadline) {
 		return nil
 	}
-	return judge.Error(judge.TimedOut, judge.NotRun, "the deadline passed before the call was handed over")
+	return classifier.Error(classifier.TimedOut, classifier.NotRun, "the deadline passed before the call was handed over")
 }
 
 // ticket returns the ticket with which c enters the target's gate.
@@ -97,21 +97,21 @@
 
 // classify gives the error of a failed exchange with who a type and a verdict.
 func classify(ctx context.Context, err error, who string) error {
-	v := judge.MayHaveRun
+	v := classifier.MayHaveRun
 	var x *exchanger.Error
 	if errors.As(err, &x) && !x.Sent {
-		v = judge.NotRun
+		v = classifier.NotRun
 	}
 	switch {
-	case judge.Is(context.Cause(ctx), errOverdue):
-		return judge.Wrap(err, errOverdue, v, "%s: the answer is overdue", who)
+	case classifier.Is(context.Cause(ctx), errOverdue):
+		return classifier.Wrap(err, errOverdue, v, "%s: the answer is overdue", who)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return judge.Wrap(err, judge.TimedOut, v, "%s: no answer before the deadline", who)
+		return classifier.Wrap(err, classifier.TimedOut, v, "%s: no answer before the deadline", who)
 	case x != nil && x.Cause == exchanger.Unreachable:
-		return judge.Wrap(err, errUnreachable, judge.NotRun, "%s", who)
+		return classifier.Wrap(err, errUnreachable, classifier.NotRun, "%s", who)
 	}
-	return judge.Wrap(err, judge.Interrupted, v, "%s", who)
+	return classifier.Wrap(err, classifier.Interrupted, v, "%s", who)
 }
 
 // errUnreachable reports that no connection could be opened.
-var errUnreachable = judge.Unavailable.NewSubtype("unreachable")
+var errUnreachable = classifier.Unavailable.NewSubtype("unreachable")
--- a/internal/forwarder/call_test.go
+++ b/internal/forwarder/call_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
@@ -68,7 +68,7 @@
 				t.Fatal(err)
 			}
 			_, err = g.do(t.Context(), newCall(a, c.method, c.body, c.key))
-			if judge.VerdictOf(err) != judge.MayHaveRun || err == nil {
+			if classifier.VerdictOf(err) != classifier.MayHaveRun || err == nil {
 				t.Errorf("got %v", err)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -126,10 +126,10 @@
 	a := l.Addr().String()
 	_ = l.Close()
 	g := newGate(t, a)
-	if _, err := g.do(t.Context(), newCall(a, http.MethodPost, "five", false)); judge.VerdictOf(err) != judge.NotRun {
+	if _, err := g.do(t.Context(), newCall(a, http.MethodPost, "five", false)); classifier.VerdictOf(err) != classifier.NotRun {
 		t.Errorf("got %v", err)
 	}
-	if _, err := g.do(t.Context(), newCall(a, http.MethodPost, "five", false)); !judge.Is(err, judge.NotFound) {
+	if _, err := g.do(t.Context(), newCall(a, http.MethodPost, "five", false)); !classifier.Is(err, classifier.NotFound) {
 		t.Errorf("the target is still registered: %v", err)
 	}
 }
@@ -212,7 +212,7 @@
 		abandonOverdue bool
 		want           *errorx.Type
 	}{
-		{"patient", false, judge.TimedOut},
+		{"patient", false, classifier.TimedOut},
 		{"impatient", true, errOverdue},
 	}
 	for _, c := range tests {
@@ -242,7 +242,7 @@
 			k.deadline = time.Now().Add(700 * time.Millisecond)
 			begun := time.Now()
 			_, err := g.do(t.Context(), k)
-			if !judge.Is(err, c.want) || judge.VerdictOf(err) != judge.MayHaveRun {
+			if !classifier.Is(err, c.want) || classifier.VerdictOf(err) != classifier.MayHaveRun {
 				t.Errorf("got %v", err)
 			}
 			if early := time.Since(begun) < 600*time.Millisecond; early != c.abandonOverdue {
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
@@ -23,14 +23,14 @@
 
 var (
 	// errCrashed reports that a target crashed while it ran a request.
-	errCrashed = judge.Interrupted.NewSubtype("crashed")
+	errCrashed = classifier.Interrupted.NewSubtype("crashed")
 	// errQuarantined reports a request that is refused because equal requests have
 	// crashed targets.
-	errQuarantined = judge.Unavailable.NewSubtype("quarantined")
+	errQuarantined = classifier.Unavailable.NewSubtype("quarantined")
 )
 
 func quarantined() error {
-	return judge.Error(errQuarantined, judge.NotRun, "equal requests have crashed targets")
+	return classifier.Error(errQuarantined, classifier.NotRun, "equal requests have crashed targets")
 }
 
 // CrashTracker tracks the requests that crash targets across the whole mesh.
--- a/internal/forwarder/deadline_test.go
+++ b/internal/forwarder/deadline_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/connector"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
@@ -49,7 +49,7 @@
 				k := newCall(a, http.MethodPost, "x", false)
 				k.deadline, k.mark = c.deadline, c.mark
 				_, err := e.send(t.Context(), k, p)
-				if runs.Load() != c.runs || (c.runs == 0 && (judge.VerdictOf(err) != judge.NotRun || !judge.Is(err, judge.TimedOut))) {
+				if runs.Load() != c.runs || (c.runs == 0 && (classifier.VerdictOf(err) != classifier.NotRun || !classifier.Is(err, classifier.TimedOut))) {
 					t.Errorf("%d runs, %v", runs.Load(), err)
 				}
 			})
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -10,11 +10,11 @@
 
 	"github.com/dragonflydoor/dragonflydoor/internal/arbiter"
 	"github.com/dragonflydoor/dragonflydoor/internal/balancer"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/deduplicator"
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/logger"
 	"github.com/dragonflydoor/dragonflydoor/internal/postponer"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
@@ -191,25 +191,25 @@
 	if !j.nested {
 		if s, ok := e.arbiter.Allow(k, j.arrived); !ok {
 			e.arbiter.Note(k, s, j.arrived)
-			return nil, judge.Error(judge.Overloaded, judge.NotRun, "service %q refuses requests that are more urgent than those of route %q", s, j.route.Name)
+			return nil, classifier.Error(classifier.Overloaded, classifier.NotRun, "service %q refuses requests that are more urgent than those of route %q", s, j.route.Name)
 		}
 		// A throttled request is not reported to the arbiter, since no service has
 		// refused it.
 		if w, ok := e.throttler.Allow(throttleKind, j.arrived); !ok {
-			return nil, judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "service %q has just refused a request of route %q", j.service.Name, j.route.Name), w)
+			return nil, classifier.WithWait(classifier.Error(classifier.Overloaded, classifier.NotRun, "service %q has just refused a request of route %q", j.service.Name, j.route.Name), w)
 		}
 	}
 	a, err := e.runKeyed(j)
-	refused := judge.Is(err, judge.Overloaded) && !judge.Is(err, errRejected)
+	refused := classifier.Is(err, classifier.Overloaded) && !classifier.Is(err, errRejected)
 	e.pressure.note(refused)
 	switch {
 	case j.nested:
-		if judge.Is(err, judge.Overloaded) {
+		if classifier.Is(err, classifier.Overloaded) {
 			e.gate.inFlight.markCalleeOverloaded(j.id)
 		}
 	case refused:
 		e.arbiter.Note(k, j.service.Name, time.Now())
-		w, _ := judge.WaitOf(err)
+		w, _ := classifier.WaitOf(err)
 		e.throttler.Refuse(throttleKind, w, time.Now())
 	default:
 		e.arbiter.Note(k, "", time.Now())
--- a/internal/forwarder/fields_test.go
+++ b/internal/forwarder/fields_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 )
 
 // TestFieldsAreURLQueries checks that what nodes send each other has the form that
@@ -17,7 +17,7 @@
 		hop{purpose: toGate, service: "a&b=c d", target: "[::1]:80", class: "r%", priority: 2, objective: time.Millisecond, immediate: true,
 			nested: true, repeatable: true, repeat: true, abandonOverdue: true, bounded: true, fingerprint: 7, attempt: "x.1", profile: "ü"}.format(),
 		report{load: gatekeeper.Load{Running: 1, Failures: 0.5}, callees: []string{"a", "b+c"}, calleeOverloaded: true}.format(),
-		report{refused: true, verdict: judge.NotRun, reason: Overloaded, wait: time.Second}.format(),
+		report{refused: true, verdict: classifier.NotRun, reason: Overloaded, wait: time.Second}.format(),
 	}
 	for _, s := range tests {
 		v, err := url.ParseQuery(s)
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -10,9 +10,9 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/pacer"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
@@ -83,12 +83,12 @@
 
 var (
 	// errRejected reports that a target stated in its answer that it did not run a call.
-	errRejected = judge.Overloaded.NewSubtype("rejected")
+	errRejected = classifier.Overloaded.NewSubtype("rejected")
 	// errForeignAnswer reports an answer that is not the target's own: it lacks the
 	// signature or has a content encoding that was not requested.
-	errForeignAnswer = judge.Interrupted.NewSubtype("spoiled")
+	errForeignAnswer = classifier.Interrupted.NewSubtype("spoiled")
 	// errOverdue reports that a target took far longer than usual to answer.
-	errOverdue = judge.Interrupted.NewSubtype("overdue")
+	errOverdue = classifier.Interrupted.NewSubtype("overdue")
 )
 
 // do waits for a slot, sends c to its target and returns the answer, with the rest
@@ -96,7 +96,7 @@
 func (g *Gate) do(ctx context.Context, c call) (*answer, error) {
 	t, ok := g.registrar.Find(c.service, c.target)
 	if !ok || t.Down {
-		return nil, judge.Error(judge.NotFound, judge.NotRun, "gate: no target of %s at %s", c.service, c.target)
+		return nil, classifier.Error(classifier.NotFound, classifier.NotRun, "gate: no target of %s at %s", c.service, c.target)
 	}
 	ctx, release, cancel := limitUntilAnswer(ctx, c.deadline)
 	k := c.ticket()
@@ -126,9 +126,9 @@
 		return gatekeeper.Answered
 	case err == nil:
 		return gatekeeper.Failed
-	case judge.Is(err, errOverdue):
+	case classifier.Is(err, errOverdue):
 		return gatekeeper.Failed
-	case ctx.Err() != nil, judge.VerdictOf(err) == judge.NotRun:
+	case ctx.Err() != nil, classifier.VerdictOf(err) == classifier.NotRun:
 		return gatekeeper.Abandoned
 	}
 	return gatekeeper.Failed
@@ -161,7 +161,7 @@
 		})
 	}
 	g.registrar.MarkDown(c.target)
-	return nil, judge.Wrap(err, errCrashed, judge.MayHaveRun, "gate: target %s crashed", c.target)
+	return nil, classifier.Wrap(err, errCrashed, classifier.MayHaveRun, "gate: target %s crashed", c.target)
 }
 
 // limitOverdue returns a context that ends when the answer to c is overdue, if c is
@@ -178,7 +178,7 @@
 
 // mayBeCrash reports whether err may be due to a crash of the target during a call.
 func mayBeCrash(err error) bool {
-	return judge.Is(err, judge.Interrupted) && !judge.Is(err, errForeignAnswer) && judge.VerdictOf(err) == judge.MayHaveRun
+	return classifier.Is(err, classifier.Interrupted) && !classifier.Is(err, errForeignAnswer) && classifier.VerdictOf(err) == classifier.MayHaveRun
 }
 
 // clear withdraws the strikes against a request that was answered.
@@ -192,7 +192,7 @@
 // request was sent, it tries a second time.
 func (g *Gate) send(ctx context.Context, c call, t registrar.Target) (*answer, error) {
 	if !c.repeatable && c.attempt != "" && !g.ledger.send(c.attempt, time.Now()) {
-		return nil, judge.Error(judge.Interrupted, judge.NotRun, "gate: the entry has settled the attempt")
+		return nil, classifier.Error(classifier.Interrupted, classifier.NotRun, "gate: the entry has settled the attempt")
 	}
 	if g.dialect.Instance != "" && t.Instance != "" {
 		c.header.Set(g.dialect.Instance, t.Instance)
@@ -246,21 +246,21 @@
 func (g *Gate) check(c call, r *exchanger.Response) error {
 	d := &g.dialect
 	if d.NotRun != "" && r.Header.Get(d.NotRun) != "" {
-		return judge.Error(errRejected, judge.NotRun, "gate: target %s rejected the request with status %d", c.target, r.Status)
+		return classifier.Error(errRejected, classifier.NotRun, "gate: target %s rejected the request with status %d", c.target, r.Status)
 	}
 	if d.Instance != "" && r.Status == http.StatusMisdirectedRequest {
 		klog.InfoS("Address belongs to another target", "request", c.request, "target", c.target, "service", c.service)
 		g.registrar.MarkDown(c.target)
-		return judge.Error(judge.NotFound, judge.NotRun, "gate: another target has the address %s", c.target)
+		return classifier.Error(classifier.NotFound, classifier.NotRun, "gate: another target has the address %s", c.target)
 	}
 	if d.Signature == "" || r.Status >= http.StatusMultipleChoices {
 		return nil
 	}
 	if r.Header.Get(d.Signature) == "" {
-		return judge.Error(errForeignAnswer, judge.MayHaveRun, "gate: target %s gave an answer without a signature", c.target)
+		return classifier.Error(errForeignAnswer, classifier.MayHaveRun, "gate: target %s gave an answer without a signature", c.target)
 	}
 	if e := r.Header.Get("Content-Encoding"); e != "" {
-		return judge.Error(errForeignAnswer, judge.MayHaveRun, "gate: target %s gave an answer with the encoding %q that nobody asked for", c.target, e)
+		return classifier.Error(errForeignAnswer, classifier.MayHaveRun, "gate: target %s gave an answer with the encoding %q that nobody asked for", c.target, e)
 	}
 	return nil
 }
@@ -295,7 +295,7 @@
 	c, ok := g.accept(r)
 	w.Header().Set(g.dialect.Request, c.request)
 	if !ok {
-		writeRefusal(w, judge.Error(judge.Invalid, judge.NotRun, "gate: unreadable %s", HopHeader), gatekeeper.Load{})
+		writeRefusal(w, classifier.Error(classifier.Invalid, classifier.NotRun, "gate: unreadable %s", HopHeader), gatekeeper.Load{})
 		return
 	}
 	switch c.purpose {
@@ -408,7 +408,7 @@
 func writeRefusal(w http.ResponseWriter, err error, l gatekeeper.Load) {
 	f := refusalOf(err)
 	r := report{refused: true, verdict: f.Verdict, reason: f.Reason, load: l}
-	r.wait, _ = judge.WaitOf(err)
+	r.wait, _ = classifier.WaitOf(err)
 	w.Header().Set(HopHeader, r.format())
 	w.WriteHeader(f.Status())
 	_, _ = io.WriteString(w, f.Message)
--- a/internal/forwarder/hop.go
+++ b/internal/forwarder/hop.go
@@ -5,8 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
 )
 
@@ -160,7 +160,7 @@
 type report struct {
 	// refused means that the gate, not the target, produced the answer.
 	refused bool
-	verdict judge.Verdict
+	verdict classifier.Verdict
 	reason  Reason
 	wait    time.Duration
 	// message describes the reason and is sent as the body of the answer.
@@ -221,7 +221,7 @@
 func (r *report) set(name, value string) {
 	switch name {
 	case verdictField:
-		r.refused, r.verdict = true, judge.Parse(value)
+		r.refused, r.verdict = true, classifier.Parse(value)
 	case reasonField:
 		r.reason = Reason(value)
 	case waitField:
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/arbiter"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/quarantiner"
 	"github.com/dragonflydoor/dragonflydoor/internal/retrier"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
@@ -115,7 +115,7 @@
 }
 
 func notRun(r Reason, format string, args ...any) Refusal {
-	return Refusal{Reason: r, Verdict: judge.NotRun, Message: fmt.Sprintf(format, args...)}
+	return Refusal{Reason: r, Verdict: classifier.NotRun, Message: fmt.Sprintf(format, args...)}
 }
 
 func (e *Entry) findRoute(j *job) bool {
@@ -209,10 +209,10 @@
 
 // withOverallVerdict gives err the verdict of all attempts instead of the last one.
 func (j *job) withOverallVerdict(err error) error {
-	if !j.mayHaveRun || judge.VerdictOf(err) == judge.MayHaveRun {
+	if !j.mayHaveRun || classifier.VerdictOf(err) == classifier.MayHaveRun {
 		return err
 	}
-	return judge.Wrap(err, judge.Interrupted, judge.MayHaveRun, "an earlier attempt may have run")
+	return classifier.Wrap(err, classifier.Interrupted, classifier.MayHaveRun, "an earlier attempt may have run")
 }
 
 // call returns a call of j's request to endpoint p.
--- a/internal/forwarder/keyed.go
+++ b/internal/forwarder/keyed.go
@@ -7,11 +7,11 @@
 	"strconv"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/deduplicator"
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 )
 
@@ -24,9 +24,9 @@
 )
 
 var (
-	errNotHome      = judge.Unavailable.NewSubtype("not_home")
-	errKeyUncertain = judge.Interrupted.NewSubtype("key_uncertain")
-	errKeyMismatch  = judge.Invalid.NewSubtype("key_mismatch")
+	errNotHome      = classifier.Unavailable.NewSubtype("not_home")
+	errKeyUncertain = classifier.Interrupted.NewSubtype("key_uncertain")
+	errKeyMismatch  = classifier.Invalid.NewSubtype("key_mismatch")
 )
 
 // setKey sets the idempotency key of a request that is not repeatable. It returns
@@ -49,7 +49,7 @@
 	for n := range maxHomeTries {
 		var a *answer
 		a, err = e.tryHome(j)
-		if err == nil || judge.VerdictOf(err) != judge.NotRun || !judge.Is(err, errNotHome) || !j.body.replayable() {
+		if err == nil || classifier.VerdictOf(err) != classifier.NotRun || !classifier.Is(err, errNotHome) || !j.body.replayable() {
 			return a, err
 		}
 		if !sleeper.Sleep(j.ctx, homePause<<n) {
@@ -62,7 +62,7 @@
 func (e *Entry) tryHome(j *job) (*answer, error) {
 	h, since, ok := deduplicator.Home(e.view(), j.service.Name, j.key)
 	if !ok {
-		return nil, judge.Error(errNoTarget, judge.NotRun, "service %q has no target", j.service.Name)
+		return nil, classifier.Error(errNoTarget, classifier.NotRun, "service %q has no target", j.service.Name)
 	}
 	if h.Node == e.node {
 		return e.atHome(j, since)
@@ -82,8 +82,8 @@
 	if err != nil {
 		defer cancel()
 		err = classify(ctx, err, "home "+h.Node)
-		if judge.VerdictOf(err) == judge.NotRun && ctx.Err() == nil {
-			return nil, judge.Wrap(err, errNotHome, judge.NotRun, "home %s", h.Node)
+		if classifier.VerdictOf(err) == classifier.NotRun && ctx.Err() == nil {
+			return nil, classifier.Wrap(err, errNotHome, classifier.NotRun, "home %s", h.Node)
 		}
 		return nil, err
 	}
@@ -100,7 +100,7 @@
 	t, ok := parseReport(r.Header.Get(HopHeader))
 	if !ok {
 		_ = r.Body.Close()
-		return nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "home %s answered without %s", h.Node, HopHeader)
+		return nil, classifier.Error(classifier.Interrupted, classifier.MayHaveRun, "home %s answered without %s", h.Node, HopHeader)
 	}
 	p := r.Header.Get(ReplayedHeader)
 	a, err := bufferAnswer(r, c.method)
@@ -142,19 +142,19 @@
 	j.deadline = c.deadline
 	j.profile = e.holder.Current().Serving(c.profile)
 	if j.profile == nil {
-		return nil, judge.Error(errNotHome, judge.NotRun, "profile %q is not in force here", c.profile)
+		return nil, classifier.Error(errNotHome, classifier.NotRun, "profile %q is not in force here", c.profile)
 	}
 	s, ok := j.profile.Service(c.service)
 	if !ok {
-		return nil, judge.Error(errNotHome, judge.NotRun, "service %q is not in force here", c.service)
+		return nil, classifier.Error(errNotHome, classifier.NotRun, "service %q is not in force here", c.service)
 	}
 	j.service = s
 	if f, ok := j.readBody(w, *e.service.Load()); !ok {
-		return nil, judge.Error(errorTypeOf(f.Reason), f.Verdict, "%s", f.Message)
+		return nil, classifier.Error(errorTypeOf(f.Reason), f.Verdict, "%s", f.Message)
 	}
 	h, since, ok := deduplicator.Home(e.view(), s.Name, j.key)
 	if !ok || h.Node != e.node {
-		return nil, judge.Error(errNotHome, judge.NotRun, "node %s is not home to the key", e.node)
+		return nil, classifier.Error(errNotHome, classifier.NotRun, "node %s is not home to the key", e.node)
 	}
 	return e.atHome(j, since)
 }
@@ -179,11 +179,11 @@
 	case deduplicator.Running, deduplicator.Done:
 		return replay(j, c)
 	case deduplicator.Mismatch:
-		return nil, judge.Error(errKeyMismatch, judge.NotRun, "the key was used with another request")
+		return nil, classifier.Error(errKeyMismatch, classifier.NotRun, "the key was used with another request")
 	case deduplicator.Uncertain:
-		return nil, judge.Error(errKeyUncertain, judge.MayHaveRun, "the key's home has changed, an earlier one may have run the request")
+		return nil, classifier.Error(errKeyUncertain, classifier.MayHaveRun, "the key's home has changed, an earlier one may have run the request")
 	default:
-		return nil, judge.Error(judge.Overloaded, judge.NotRun, "too many idempotency keys")
+		return nil, classifier.Error(classifier.Overloaded, classifier.NotRun, "too many idempotency keys")
 	}
 }
 
@@ -196,7 +196,7 @@
 	}
 	a, err := e.run(j)
 	if err == nil && a.rest != nil {
-		e.keys.End(u, c, nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "the request has run; its answer was too large to keep"), time.Now())
+		e.keys.End(u, c, nil, classifier.Error(classifier.Interrupted, classifier.MayHaveRun, "the request has run; its answer was too large to keep"), time.Now())
 		return a, nil
 	}
 	e.keys.End(u, c, a, err, time.Now())
@@ -210,9 +210,9 @@
 	select {
 	case <-c.Wait():
 	case <-t.C:
-		return nil, judge.Error(judge.TimedOut, judge.MayHaveRun, "the first request with the key still runs")
+		return nil, classifier.Error(classifier.TimedOut, classifier.MayHaveRun, "the first request with the key still runs")
 	case <-j.ctx.Done():
-		return nil, judge.Error(judge.Interrupted, judge.MayHaveRun, "the caller left")
+		return nil, classifier.Error(classifier.Interrupted, classifier.MayHaveRun, "the caller left")
 	}
 	a, err := c.Outcome()
 	if err != nil {
--- a/internal/forwarder/ledger.go
+++ b/internal/forwarder/ledger.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 )
 
 const (
@@ -44,15 +44,15 @@
 
 // settle returns the verdict of an attempt. If the attempt was not sent to its target
 // yet, settle prevents that it is sent later.
-func (l *ledger) settle(attempt string, now time.Time) judge.Verdict {
+func (l *ledger) settle(attempt string, now time.Time) classifier.Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entry(attempt, now)
 	if e.sent {
-		return judge.MayHaveRun
+		return classifier.MayHaveRun
 	}
 	e.forbidden = true
-	return judge.NotRun
+	return classifier.NotRun
 }
 
 func (l *ledger) entry(attempt string, now time.Time) *ledgerEntry {
--- a/internal/forwarder/parts_test.go
+++ b/internal/forwarder/parts_test.go
@@ -5,24 +5,24 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 )
 
 func TestLedgerRefusesSettledAttempts(t *testing.T) {
 	tests := []struct {
 		name string
-		do   func(l *ledger, now time.Time) judge.Verdict
-		want judge.Verdict
+		do   func(l *ledger, now time.Time) classifier.Verdict
+		want classifier.Verdict
 		runs bool
 	}{
-		{"settled before it was sent", func(l *ledger, now time.Time) judge.Verdict { return l.settle("a", now) }, judge.NotRun, false},
-		{"settled after it was sent", func(l *ledger, now time.Time) judge.Verdict {
+		{"settled before it was sent", func(l *ledger, now time.Time) classifier.Verdict { return l.settle("a", now) }, classifier.NotRun, false},
+		{"settled after it was sent", func(l *ledger, now time.Time) classifier.Verdict {
 			l.send("a", now)
 			return l.settle("a", now)
-		}, judge.MayHaveRun, true},
-		{"another attempt was settled", func(l *ledger, now time.Time) judge.Verdict { return l.settle("b", now) }, judge.NotRun, true},
+		}, classifier.MayHaveRun, true},
+		{"another attempt was settled", func(l *ledger, now time.Time) classifier.Verdict { return l.settle("b", now) }, classifier.NotRun, true},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
@@ -59,7 +59,7 @@
 
 func TestReportRoundTrip(t *testing.T) {
 	r := report{
-		refused: true, verdict: judge.NotRun, reason: Overloaded, wait: 30 * time.Millisecond,
+		refused: true, verdict: classifier.NotRun, reason: Overloaded, wait: 30 * time.Millisecond,
 		load:    gatekeeper.Load{Running: 3, Waiting: 2, Slots: 12, Duration: 120 * time.Millisecond, Failures: 0.25},
 		callees: []string{"ledger"},
 	}
--- a/internal/forwarder/probe.go
+++ b/internal/forwarder/probe.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/exchanger"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 )
 
@@ -31,7 +31,7 @@
 	}
 	id := r.Header.Get(g.dialect.Self)
 	if r.Status != http.StatusOK || id == "" {
-		return registrar.Announcement{}, judge.Error(judge.Unavailable, judge.NotRun, "gate: target %s answered with status %d and life %q", address, r.Status, id)
+		return registrar.Announcement{}, classifier.Error(classifier.Unavailable, classifier.NotRun, "gate: target %s answered with status %d and life %q", address, r.Status, id)
 	}
 	return registrar.Announcement{
 		Instance: id,
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -9,7 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 )
 
 // Reason is a code for the cause of a failed request.
@@ -51,7 +51,7 @@
 // Refusal is the answer to a request that failed.
 type Refusal struct {
 	Reason  Reason
-	Verdict judge.Verdict
+	Verdict classifier.Verdict
 	Message string
 	Request string
 	// Wait is the expected time until there is capacity, or zero if it is unknown.
@@ -89,7 +89,7 @@
 	default:
 	}
 	switch {
-	case r.Verdict == judge.NotRun:
+	case r.Verdict == classifier.NotRun:
 		return http.StatusServiceUnavailable
 	case r.Reason == DeadlinePast:
 		return http.StatusGatewayTimeout
@@ -127,8 +127,8 @@
 
 // refusalOf returns the refusal that reports err to a caller.
 func refusalOf(err error) Refusal {
-	w, _ := judge.WaitOf(err)
-	return Refusal{Reason: reasonOf(err), Verdict: judge.VerdictOf(err), Message: messageOf(err), Wait: w}
+	w, _ := classifier.WaitOf(err)
+	return Refusal{Reason: reasonOf(err), Verdict: classifier.VerdictOf(err), Message: messageOf(err), Wait: w}
 }
 
 // errorTypes maps error types to reasons, with subtypes before their supertypes.
@@ -145,18 +145,18 @@
 	{Spoiled, errForeignAnswer},
 	{Overdue, errOverdue},
 	{Unreachable, errUnreachable},
-	{Overloaded, judge.Overloaded},
-	{DeadlinePast, judge.TimedOut},
-	{NoTarget, judge.NotFound},
+	{Overloaded, classifier.Overloaded},
+	{DeadlinePast, classifier.TimedOut},
+	{NoTarget, classifier.NotFound},
 	{NoTarget, errNoTarget},
-	{Draining, judge.Unavailable},
-	{BadRequest, judge.Invalid},
-	{Broken, judge.Interrupted},
+	{Draining, classifier.Unavailable},
+	{BadRequest, classifier.Invalid},
+	{Broken, classifier.Interrupted},
 }
 
 func reasonOf(err error) Reason {
 	for _, k := range errorTypes {
-		if judge.Is(err, k.errorType) {
+		if classifier.Is(err, k.errorType) {
 			return k.reason
 		}
 	}
@@ -170,7 +170,7 @@
 			return k.errorType
 		}
 	}
-	return judge.Interrupted
+	return classifier.Interrupted
 }
 
 func messageOf(err error) string {
--- a/internal/forwarder/stats.go
+++ b/internal/forwarder/stats.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/connector"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 )
 
 // Stats counts the requests of an entry. Its zero value is ready to use.
@@ -22,7 +22,7 @@
 }
 
 func (s *Stats) refused(f Refusal) {
-	if f.Verdict == judge.NotRun {
+	if f.Verdict == classifier.NotRun {
 		s.NotRun.Add(1)
 		return
 	}
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
@@ -162,7 +162,7 @@
 	case <-d.C:
 	}
 	if g.removeWaiter(w) {
-		return nil, judge.Error(judge.TimedOut, judge.NotRun, "gate: no slot before the deadline")
+		return nil, classifier.Error(classifier.TimedOut, classifier.NotRun, "gate: no slot before the deadline")
 	}
 	return w.pass, w.refusal
 }
@@ -376,7 +376,7 @@
 
 func (g *Gate) overloadError(now time.Time, reason string) error {
 	w := g.forecast(now).wait(len(g.waiting))
-	return judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "%s", reason), w)
+	return classifier.WithWait(classifier.Error(classifier.Overloaded, classifier.NotRun, "%s", reason), w)
 }
 
 func (g *Gate) admit(t Ticket, now time.Time) *Pass {
@@ -546,7 +546,7 @@
 }
 
 func drainingError() error {
-	return judge.Error(judge.Unavailable, judge.NotRun, "gate: the target is draining")
+	return classifier.Error(classifier.Unavailable, classifier.NotRun, "gate: the target is draining")
 }
 
 func boolToInt(b bool) int {
--- a/internal/gatekeeper/gate_test.go
+++ b/internal/gatekeeper/gate_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
@@ -52,7 +52,7 @@
 			}()
 			synctest.Wait()
 		}
-		if _, err := enter(t, g, time.Minute); judge.VerdictOf(err) != judge.NotRun || !judge.Is(err, judge.Overloaded) {
+		if _, err := enter(t, g, time.Minute); classifier.VerdictOf(err) != classifier.NotRun || !classifier.Is(err, classifier.Overloaded) {
 			t.Errorf("the queue accepted a fourth request: %v", err)
 		}
 		leave()
@@ -70,7 +70,7 @@
 		leave, _ := enter(t, g, time.Hour)
 		s := time.Now()
 		_, err := enter(t, g, 2*time.Second)
-		if judge.VerdictOf(err) != judge.NotRun || time.Since(s) != 2*time.Second {
+		if classifier.VerdictOf(err) != classifier.NotRun || time.Since(s) != 2*time.Second {
 			t.Errorf("got %v after %s", err, time.Since(s))
 		}
 		leave()
@@ -91,10 +91,10 @@
 		}()
 		synctest.Wait()
 		g.Drain()
-		if err := <-waited; judge.VerdictOf(err) != judge.NotRun {
+		if err := <-waited; classifier.VerdictOf(err) != classifier.NotRun {
 			t.Errorf("the waiting request: %v", err)
 		}
-		if _, err := enter(t, g, time.Second); judge.VerdictOf(err) != judge.NotRun {
+		if _, err := enter(t, g, time.Second); classifier.VerdictOf(err) != classifier.NotRun {
 			t.Errorf("a new request: %v", err)
 		}
 		select {
@@ -185,8 +185,8 @@
 				synctest.Wait()
 				select {
 				case err := <-done:
-					w, ok := judge.WaitOf(err)
-					if c.accepted || !ok || w <= 0 || judge.VerdictOf(err) != judge.NotRun {
+					w, ok := classifier.WaitOf(err)
+					if c.accepted || !ok || w <= 0 || classifier.VerdictOf(err) != classifier.NotRun {
 						t.Errorf("unexpected refusal: %v", err)
 					}
 				default:
--- a/internal/gatekeeper/returning_test.go
+++ b/internal/gatekeeper/returning_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 )
 
 // returningLoad describes callers that come back once after a refusal. Their objective
@@ -64,7 +64,7 @@
 						o.add(&o.held)
 					}
 					if attempt == 0 {
-						w, _ := judge.WaitOf(err)
+						w, _ := classifier.WaitOf(err)
 						w = max(w, 50*time.Millisecond)
 						time.Sleep(w + time.Duration(u*float64(w)))
 					}
--- a/internal/imitator/server.go
+++ b/internal/imitator/server.go
@@ -9,7 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
@@ -112,17 +112,17 @@
 }
 
 // errForgotten reports a watch from before the known history.
-var errForgotten = judge.Unavailable.NewSubtype("imitator_forgotten")
+var errForgotten = classifier.Unavailable.NewSubtype("imitator_forgotten")
 
 func status(err error) int {
 	switch {
-	case judge.Is(err, errForgotten):
+	case classifier.Is(err, errForgotten):
 		return http.StatusGone
-	case judge.Is(err, judge.NotFound):
+	case classifier.Is(err, classifier.NotFound):
 		return http.StatusNotFound
-	case judge.Is(err, judge.Conflict):
+	case classifier.Is(err, classifier.Conflict):
 		return http.StatusPreconditionFailed
-	case judge.Is(err, judge.Invalid):
+	case classifier.Is(err, classifier.Invalid):
 		return http.StatusBadRequest
 	}
 	return http.StatusServiceUnavailable
@@ -187,7 +187,7 @@
 	for {
 		l, asOf, changed, ok := s.store.since(r.URL.Query().Get("prefix"), n)
 		if !ok {
-			return nil, judge.Error(errForgotten, judge.NotRun, "history before %d is forgotten", asOf)
+			return nil, classifier.Error(errForgotten, classifier.NotRun, "history before %d is forgotten", asOf)
 		}
 		if len(l) > 0 {
 			return writeEvents(l, asOf), nil
@@ -197,7 +197,7 @@
 		case <-t.C:
 			return writeEvents(nil, asOf), nil
 		case <-r.Context().Done():
-			return nil, judge.Wrap(r.Context().Err(), judge.TimedOut, judge.NotRun, "watch")
+			return nil, classifier.Wrap(r.Context().Err(), classifier.TimedOut, classifier.NotRun, "watch")
 		}
 	}
 }
@@ -227,10 +227,10 @@
 func (s *Server) change(r *http.Request) (any, error) {
 	var j changeJSON
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&j); err != nil {
-		return nil, judge.Wrap(err, judge.Invalid, judge.NotRun, "body")
+		return nil, classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "body")
 	}
 	if len(j.Preconditions) != 1 || len(j.Writes)+len(j.Deletes) != 1 {
-		return nil, judge.Error(judge.Invalid, judge.NotRun, "a change of one key with its precondition is expected")
+		return nil, classifier.Error(classifier.Invalid, classifier.NotRun, "a change of one key with its precondition is expected")
 	}
 	p := j.Preconditions[0]
 	if len(j.Deletes) == 1 {
@@ -257,11 +257,11 @@
 func (s *Server) grant(r *http.Request) (any, error) {
 	var j leaseJSON
 	if err := json.NewDecoder(r.Body).Decode(&j); err != nil {
-		return nil, judge.Wrap(err, judge.Invalid, judge.NotRun, "body")
+		return nil, classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "body")
 	}
 	d, err := time.ParseDuration(j.TTL)
 	if err != nil {
-		return nil, judge.Wrap(err, judge.Invalid, judge.NotRun, "ttl_time")
+		return nil, classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "ttl_time")
 	}
 	l, err := s.store.Grant(r.Context(), d)
 	return leaseJSON{Lease: uint64(l), TTL: j.TTL}, err
@@ -338,7 +338,7 @@
 	}
 	n, err := strconv.ParseUint(v, 10, 64)
 	if err != nil {
-		return 0, judge.Wrap(err, judge.Invalid, judge.NotRun, "parameter %s", name)
+		return 0, classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "parameter %s", name)
 	}
 	return n, nil
 }
@@ -346,7 +346,7 @@
 func leaseID(r *http.Request) (storer.LeaseID, error) {
 	n, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	if err != nil {
-		return 0, judge.Wrap(err, judge.Invalid, judge.NotRun, "lease")
+		return 0, classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "lease")
 	}
 	return storer.LeaseID(n), nil
 }
--- a/internal/imitator/store.go
+++ b/internal/imitator/store.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
 
@@ -63,10 +63,10 @@
 	defer s.mu.Unlock()
 	s.expire(time.Now())
 	if len(data) > storer.MaxValueBytes {
-		return 0, judge.Error(judge.Invalid, judge.NotRun, "value of %d bytes", len(data))
+		return 0, classifier.Error(classifier.Invalid, classifier.NotRun, "value of %d bytes", len(data))
 	}
 	if _, ok := s.leases[l]; l != 0 && !ok {
-		return 0, judge.Error(judge.NotFound, judge.NotRun, "lease %d", l)
+		return 0, classifier.Error(classifier.NotFound, classifier.NotRun, "lease %d", l)
 	}
 	if err := s.compare(key, revision); err != nil {
 		return 0, err
@@ -126,7 +126,7 @@
 		case <-t.C:
 			return v, false, nil
 		case <-ctx.Done():
-			return storer.Value{}, false, judge.Wrap(ctx.Err(), judge.TimedOut, judge.NotRun, "watch")
+			return storer.Value{}, false, classifier.Wrap(ctx.Err(), classifier.TimedOut, classifier.NotRun, "watch")
 		}
 	}
 }
@@ -217,7 +217,7 @@
 	s.expire(time.Now())
 	l, ok := s.leases[id]
 	if !ok {
-		return judge.Error(judge.NotFound, judge.NotRun, "lease %d", id)
+		return classifier.Error(classifier.NotFound, classifier.NotRun, "lease %d", id)
 	}
 	l.until = time.Now().Add(l.ttl)
 	s.leases[id] = l
@@ -229,7 +229,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.leases[id]; !ok {
-		return judge.Error(judge.NotFound, judge.NotRun, "lease %d", id)
+		return classifier.Error(classifier.NotFound, classifier.NotRun, "lease %d", id)
 	}
 	s.drop(id)
 	s.notify()
@@ -268,7 +268,7 @@
 
 func (s *Store) compare(key string, revision uint64) error {
 	if r := s.records[key].value.Revision; r != revision {
-		return judge.Error(judge.Conflict, judge.NotRun, "key %s has revision %d, not %d", key, r, revision)
+		return classifier.Error(classifier.Conflict, classifier.NotRun, "key %s has revision %d, not %d", key, r, revision)
 	}
 	return nil
 }
@@ -314,5 +314,5 @@
 }
 
 func notFound(key string) error {
-	return judge.Error(judge.NotFound, judge.NotRun, "key %s", key)
+	return classifier.Error(classifier.NotFound, classifier.NotRun, "key %s", key)
 }
--- a/internal/pacer/uplink.go
+++ b/internal/pacer/uplink.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 )
 
 const (
@@ -73,7 +73,7 @@
 			b = max(d-max(work-u.Duration(u.reservedBytes), 0), maxLateBacklog+u.Duration(s))
 		}
 		if w := max(u.Duration(u.reservedBytes), time.Until(u.freeAt)) + u.Duration(s); w > b {
-			return nil, judge.WithWait(judge.Error(judge.Overloaded, judge.NotRun, "gate: the link is busy for %s", w), w-b)
+			return nil, classifier.WithWait(classifier.Error(classifier.Overloaded, classifier.NotRun, "gate: the link is busy for %s", w), w-b)
 		}
 	}
 	u.reservedBytes += s
--- a/internal/pacer/uplink_test.go
+++ b/internal/pacer/uplink_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 )
 
 // TestLargeAnswersOverSlowLink simulates 20 s of downloads of 280 KB at three times
@@ -130,7 +130,7 @@
 			for range 100 {
 				if r, err := u.Reserve("map", 0, 0); err == nil {
 					reserved = append(reserved, r)
-				} else if w, ok := judge.WaitOf(err); !ok || w <= 0 || judge.VerdictOf(err) != judge.NotRun {
+				} else if w, ok := classifier.WaitOf(err); !ok || w <= 0 || classifier.VerdictOf(err) != classifier.NotRun {
 					t.Errorf("refused without an expected wait: %v", err)
 				}
 			}
--- a/internal/publisher/change.go
+++ b/internal/publisher/change.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
@@ -24,7 +24,7 @@
 }
 
 // change applies o to the head record with a compare-and-swap. An error with
-// judge.MayHaveRun means that the outcome is unknown.
+// classifier.MayHaveRun means that the outcome is unknown.
 func (p *Publisher) change(ctx context.Context, o accepter.Operation) (accepter.Operation, error) {
 	if err := p.refuseIfDocument(ctx); err != nil {
 		return accepter.Operation{}, err
@@ -37,7 +37,7 @@
 		return err
 	})
 	if err != nil && a.outcomeUnknown && !isFinal(err) {
-		return r, judge.Wrap(err, judge.Unavailable, judge.MayHaveRun,
+		return r, classifier.Wrap(err, classifier.Unavailable, classifier.MayHaveRun,
 			"operation %s on profile %q: outcome unknown", o.ID, o.Profile)
 	}
 	return r, err
@@ -52,7 +52,7 @@
 		return o, nil
 	}
 	if a.outcomeUnknown && !s.HasHistoryAfter(a.generation) {
-		return accepter.Operation{}, judge.Error(judge.Unavailable, judge.MayHaveRun,
+		return accepter.Operation{}, classifier.Error(classifier.Unavailable, classifier.MayHaveRun,
 			"the history after generation %d has been discarded", a.generation)
 	}
 	if err := a.checkBase(s); err != nil {
@@ -87,13 +87,13 @@
 		return nil
 	}
 	w, _ := s.LatestOperation(a.operation.Profile)
-	return judge.Error(judge.Conflict, judge.NotRun,
+	return classifier.Error(classifier.Conflict, classifier.NotRun,
 		"profile %q was changed first: %s to version %d by %q at generation %d; yours is still published and can be promoted again",
 		w.Profile, w.Kind, w.Version, w.Operator, w.Generation)
 }
 
 func (a *attempt) noteUnknownOutcome(err error, s accepter.State) {
-	if judge.VerdictOf(err) == judge.MayHaveRun && !a.outcomeUnknown {
+	if classifier.VerdictOf(err) == classifier.MayHaveRun && !a.outcomeUnknown {
 		a.outcomeUnknown = true
 		a.generation = s.Generation
 	}
@@ -111,21 +111,21 @@
 
 // swapConflict marks a compare-and-swap conflict that may be resolved by reading
 // the record again and retrying.
-var swapConflict = judge.Conflict.NewSubtype("lost_race")
+var swapConflict = classifier.Conflict.NewSubtype("lost_race")
 
 func retriable(err error) error {
-	if judge.Is(err, judge.Conflict) {
-		return judge.Wrap(err, swapConflict, judge.NotRun, "publisher: record changed since it was read")
+	if classifier.Is(err, classifier.Conflict) {
+		return classifier.Wrap(err, swapConflict, classifier.NotRun, "publisher: record changed since it was read")
 	}
 	return err
 }
 
 // isFinal reports whether err cannot be resolved by a retry.
 func isFinal(err error) bool {
-	if judge.Is(err, swapConflict) {
+	if classifier.Is(err, swapConflict) {
 		return false
 	}
-	return judge.Is(err, judge.Conflict) || judge.Is(err, judge.Invalid) || judge.Is(err, judge.NotFound)
+	return classifier.Is(err, classifier.Conflict) || classifier.Is(err, classifier.Invalid) || classifier.Is(err, classifier.NotFound)
 }
 
 // retry calls f with exponential backoff until it succeeds, returns a final
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
@@ -51,13 +51,13 @@
 		_, err := p.store.Get(ctx, p.documentKey)
 		return err
 	})
-	if judge.Is(err, judge.NotFound) {
+	if classifier.Is(err, classifier.NotFound) {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	return judge.Error(judge.Conflict, judge.NotRun, "the operator's document %q is in force, and profiles are changed there", p.documentKey)
+	return classifier.Error(classifier.Conflict, classifier.NotRun, "the operator's document %q is in force, and profiles are changed there", p.documentKey)
 }
 
 // Publish stores f as a new version without putting it in force. Publishing
@@ -115,7 +115,7 @@
 	}
 	s, err := encoder.DecodeVerified(b.Data, d)
 	if err != nil {
-		return s, judge.Wrap(err, judge.Invalid, judge.NotRun, "body of profile %q", profile)
+		return s, classifier.Wrap(err, classifier.Invalid, classifier.NotRun, "body of profile %q", profile)
 	}
 	return s, nil
 }
@@ -125,7 +125,7 @@
 func (p *Publisher) putOnce(ctx context.Context, key string, body []byte) error {
 	return p.retry(ctx, func() error {
 		_, err := p.store.Put(ctx, key, body, 0, 0)
-		if judge.Is(err, judge.Conflict) {
+		if classifier.Is(err, classifier.Conflict) {
 			return nil
 		}
 		return err
@@ -199,7 +199,7 @@
 		}
 		n, ok := c.Version(version)
 		if !ok {
-			return judge.Error(judge.NotFound, judge.NotRun, "version %d of profile %q is not published", version, profile)
+			return classifier.Error(classifier.NotFound, classifier.NotRun, "version %d of profile %q is not published", version, profile)
 		}
 		v = n
 		// Refuse a version with a body that nodes could not apply.
@@ -234,7 +234,7 @@
 // no state yet.
 func (p *Publisher) State(ctx context.Context) (accepter.State, uint64, error) {
 	v, err := p.store.Get(ctx, storer.HeadKey)
-	if judge.Is(err, judge.NotFound) {
+	if classifier.Is(err, classifier.NotFound) {
 		return accepter.State{}, 0, nil
 	}
 	if err != nil {
@@ -269,7 +269,7 @@
 	}
 	v, ok := c.Version(version)
 	if !ok {
-		return router.Profile{}, v, judge.Error(judge.NotFound, judge.NotRun, "version %d of profile %q is not published", version, name)
+		return router.Profile{}, v, classifier.Error(classifier.NotFound, classifier.NotRun, "version %d of profile %q is not published", version, name)
 	}
 	f, err := p.body(ctx, name, v.Digest)
 	return f.Profile, v, err
@@ -277,7 +277,7 @@
 
 func (p *Publisher) catalog(ctx context.Context, profile string) (accepter.Catalog, uint64, error) {
 	v, err := p.store.Get(ctx, storer.CatalogKey(profile))
-	if judge.Is(err, judge.NotFound) {
+	if classifier.Is(err, classifier.NotFound) {
 		return accepter.Catalog{Profile: profile}, 0, nil
 	}
 	if err != nil {
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -11,10 +11,10 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/imitator"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
@@ -38,14 +38,14 @@
 	d := l.draw()
 	time.Sleep(time.Duration(d) * 10 * time.Microsecond)
 	if d < 10 {
-		return 0, judge.Error(judge.Unavailable, judge.MayHaveRun, "request lost")
+		return 0, classifier.Error(classifier.Unavailable, classifier.MayHaveRun, "request lost")
 	}
 	if d < 15 {
-		return 0, judge.Error(judge.Overloaded, judge.NotRun, "too many calls")
+		return 0, classifier.Error(classifier.Overloaded, classifier.NotRun, "too many calls")
 	}
 	r, err := l.Store.Put(ctx, k, b, n, i)
 	if err == nil && d < 40 {
-		return 0, judge.Error(judge.Unavailable, judge.MayHaveRun, "response lost")
+		return 0, classifier.Error(classifier.Unavailable, classifier.MayHaveRun, "response lost")
 	}
 	return r, err
 }
@@ -175,8 +175,8 @@
 			o, err := p.Promote(ctx, profileName(i.profile), i.version, fmt.Sprintf("op-%d-%d", client, k))
 			return output{
 				seen:    state{generation: o.Generation},
-				refused: err != nil && judge.VerdictOf(err) == judge.NotRun,
-				unknown: err != nil && judge.VerdictOf(err) == judge.MayHaveRun,
+				refused: err != nil && classifier.VerdictOf(err) == classifier.NotRun,
+				unknown: err != nil && classifier.VerdictOf(err) == classifier.MayHaveRun,
 			}
 		})
 		r.call(client, input{profile: -1}, func() output { return output{seen: read(p)} })
@@ -208,7 +208,7 @@
 		}
 	}}
 	_, err := New(s, "lee").Promote(t.Context(), profileName(0), 1, "lees")
-	if !judge.Is(err, judge.Conflict) || judge.VerdictOf(err) != judge.NotRun {
+	if !classifier.Is(err, classifier.Conflict) || classifier.VerdictOf(err) != classifier.NotRun {
 		t.Fatalf("got %v, want a conflict that has not run", err)
 	}
 	if _, _, err := first.Profile(t.Context(), profileName(0), 1); err != nil {
@@ -265,7 +265,7 @@
 		s.after()
 	}
 	if s.loseResponse {
-		return 0, judge.Error(judge.Unavailable, judge.MayHaveRun, "response lost")
+		return 0, classifier.Error(classifier.Unavailable, classifier.MayHaveRun, "response lost")
 	}
 	return r, err
 }
@@ -288,7 +288,7 @@
 			t.Errorf("version %d: %v", n, err)
 		}
 	}
-	if _, _, err := p.Profile(t.Context(), profileName(0), 2); !judge.Is(err, judge.NotFound) {
+	if _, _, err := p.Profile(t.Context(), profileName(0), 2); !classifier.Is(err, classifier.NotFound) {
 		t.Errorf("version 2 was not pruned: %v", err)
 	}
 }
@@ -303,7 +303,7 @@
 func (s *failingReadStore) Get(ctx context.Context, key string) (storer.Value, error) {
 	if s.failures > 0 {
 		s.failures--
-		return storer.Value{}, judge.Error(judge.Unavailable, judge.NotRun, "store: down")
+		return storer.Value{}, classifier.Error(classifier.Unavailable, classifier.NotRun, "store: down")
 	}
 	return s.Store.Get(ctx, key)
 }
@@ -330,7 +330,7 @@
 			if (err == nil) != c.want {
 				t.Errorf("Publish: %v", err)
 			}
-			if _, err = p.Withdraw(t.Context(), "everyday", "other", "2"); !c.want && (!judge.Is(err, judge.Conflict) || judge.VerdictOf(err) != judge.NotRun) {
+			if _, err = p.Withdraw(t.Context(), "everyday", "other", "2"); !c.want && (!classifier.Is(err, classifier.Conflict) || classifier.VerdictOf(err) != classifier.NotRun) {
 				t.Errorf("Withdraw: %v", err)
 			}
 		})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -13,10 +13,10 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/grouper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/limiter"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
@@ -114,7 +114,7 @@
 			return
 		}
 		v, err := r.store.Get(ctx, r.key())
-		if judge.Is(err, judge.NotFound) {
+		if classifier.Is(err, classifier.NotFound) {
 			// The first configuration has not been written yet. Relays will deliver it,
 			// and the waiting nodes must not keep reading the store.
 			if r.hasOtherRelay() && !sleeper.Sleep(ctx, watchWait) {
@@ -277,7 +277,7 @@
 	if r.budget.Take(time.Now()) {
 		return nil
 	}
-	return judge.Error(judge.Overloaded, judge.NotRun, "relayer: rate limit of store calls exceeded")
+	return classifier.Error(classifier.Overloaded, classifier.NotRun, "relayer: rate limit of store calls exceeded")
 }
 
 // runRelay acts as a relay until the slot is lost or ctx is done.
@@ -310,7 +310,7 @@
 	ctx = storer.WithPurpose(ctx, storer.ForLease)
 	for sleeper.Sleep(ctx, renewPeriod) {
 		err := r.store.KeepAlive(ctx, r.lease)
-		if judge.Is(err, judge.NotFound) {
+		if classifier.Is(err, classifier.NotFound) {
 			klog.Warning(logPrefix + "The lease has expired.")
 			return
 		}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -7,9 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/messenger"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
@@ -24,7 +24,7 @@
 
 func (s *emptyStore) Get(context.Context, string) (storer.Value, error) {
 	s.reads.Add(1)
-	return storer.Value{}, judge.Error(judge.NotFound, judge.NotRun, "no such key")
+	return storer.Value{}, classifier.Error(classifier.NotFound, classifier.NotRun, "no such key")
 }
 
 // TestBootstrapLimitsStoreReads starts a node 12 s before the operator writes the
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -7,9 +7,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/accepter"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/encoder"
 	"github.com/dragonflydoor/dragonflydoor/internal/holder"
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/storer"
 )
@@ -69,7 +69,7 @@
 		return r.store.Watch(ctx, r.key(), held, watchWait)
 	}
 	v, err := r.store.Get(ctx, r.key())
-	if judge.Is(err, judge.NotFound) {
+	if classifier.Is(err, classifier.NotFound) {
 		return storer.Value{}, true, nil
 	}
 	return v, err == nil, err
@@ -190,7 +190,7 @@
 	}
 	k := storer.BodyKey(e.Profile, e.Digest.String())
 	_, err := r.store.Put(ctx, k, encoder.EncodeProfile(p.Profile), 0, 0)
-	if judge.Is(err, judge.Conflict) {
+	if classifier.Is(err, classifier.Conflict) {
 		return nil
 	}
 	return err
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
@@ -150,7 +150,7 @@
 type Attempt struct {
 	// Number is the number of the attempt, starting at 1.
 	Number  int
-	Verdict judge.Verdict
+	Verdict classifier.Verdict
 	// Idempotent means that the request can safely run more than once.
 	Idempotent bool
 	// Replayable means that the complete request body can be sent again.
@@ -165,5 +165,5 @@
 	if a.Started || !a.Replayable || a.Number >= maxAttempts {
 		return false
 	}
-	return a.Verdict == judge.NotRun || a.Idempotent
+	return a.Verdict == classifier.NotRun || a.Idempotent
 }
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/judge"
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
@@ -15,12 +15,12 @@
 		attempt Attempt
 		want    bool
 	}{
-		{"not run", Attempt{Number: 1, Verdict: judge.NotRun, Replayable: true}, true},
+		{"not run", Attempt{Number: 1, Verdict: classifier.NotRun, Replayable: true}, true},
 		{"may have run", Attempt{Number: 1, Replayable: true}, false},
 		{"may have run, idempotent", Attempt{Number: 1, Idempotent: true, Replayable: true}, true},
-		{"body not replayable", Attempt{Number: 1, Verdict: judge.NotRun}, false},
+		{"body not replayable", Attempt{Number: 1, Verdict: classifier.NotRun}, false},
 		{"response started", Attempt{Number: 1, Idempotent: true, Replayable: true, Started: true}, false},
-		{"last attempt", Attempt{Number: 3, Verdict: judge.NotRun, Replayable: true}, false},
+		{"last attempt", Attempt{Number: 3, Verdict: classifier.NotRun, Replayable: true}, false},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -44,9 +44,9 @@
 // Store is a key-value service with compare-and-swap, leases and long-polling
 // watches.
 //
-// Errors carry a verdict. They are judge.NotFound for a missing key,
-// judge.Conflict for a failed comparison, judge.Overloaded when the service's
-// rate limits refuse the call, and otherwise judge.Unavailable.
+// Errors carry a verdict. They are classifier.NotFound for a missing key,
+// classifier.Conflict for a failed comparison, classifier.Overloaded when the service's
+// rate limits refuse the call, and otherwise classifier.Unavailable.
 type Store interface {
 	// Get reads a key.
 	Get(ctx context.Context, key string) (Value, error)
@@ -64,7 +64,7 @@
 	Watch(ctx context.Context, key string, held Value, wait time.Duration) (Value, bool, error)
 	// Grant creates a lease that expires after ttl unless it is kept alive.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// KeepAlive renews a lease. It fails with judge.NotFound once the lease
+	// KeepAlive renews a lease. It fails with classifier.NotFound once the lease
 	// has expired.
 	KeepAlive(ctx context.Context, lease LeaseID) error
 	// Revoke ends a lease and deletes its keys.
