--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -222,7 +222,7 @@
 	if f.Reason == Draining || f.Reason == BadRequest {
 		w.Header().Set("Connection", "close")
 	}
-	e.stats.refused(f)
+	e.stats.refused(f, time.Since(j.arrived), j.route.Objective)
 	switch {
 	case f.Status() != http.StatusServiceUnavailable:
 	case f.Reason == Rejected:
--- a/internal/forwarder/stats.go
+++ b/internal/forwarder/stats.go
@@ -9,6 +9,9 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/connector"
 )
 
+// heldDivisor sets which part of its objective a request may wait for a refusal.
+const heldDivisor = 8
+
 // Stats counts the requests of an entry. Its zero value is ready to use.
 type Stats struct {
 	Requests   atomic.Uint64
@@ -16,17 +19,24 @@
 	AnswersCut atomic.Uint64
 	NotRun     atomic.Uint64
 	MayHaveRun atomic.Uint64
+	// HeldInVain counts refused requests that have not run although they were held for
+	// more than a heldDivisor-th of their objective.
+	HeldInVain atomic.Uint64
 
 	// Observe is called with the duration of each answered request, if it is set.
 	Observe func(time.Duration)
 }
 
-func (s *Stats) refused(f Refusal) {
-	if f.Verdict == classifier.NotRun {
-		s.NotRun.Add(1)
+// refused counts a refusal after a wait. objective is zero if the route has none.
+func (s *Stats) refused(f Refusal, wait, objective time.Duration) {
+	if f.Verdict != classifier.NotRun {
+		s.MayHaveRun.Add(1)
 		return
 	}
-	s.MayHaveRun.Add(1)
+	s.NotRun.Add(1)
+	if objective > 0 && wait > objective/heldDivisor {
+		s.HeldInVain.Add(1)
+	}
 }
 
 func (s *Stats) observe(d time.Duration) {
--- a/internal/forwarder/usage_test.go
+++ b/internal/forwarder/usage_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/classifier"
 	"github.com/dragonflydoor/dragonflydoor/internal/gatekeeper"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
@@ -59,3 +60,29 @@
 		})
 	}
 }
+
+// TestRefusalsAfterAWaitAreCounted counts only refusals of requests that have not run and
+// were held for more than an eighth of their objective.
+func TestRefusalsAfterAWaitAreCounted(t *testing.T) {
+	const objective = 400 * time.Millisecond
+	tests := []struct {
+		name            string
+		verdict         classifier.Verdict
+		wait, objective time.Duration
+		want            uint64
+	}{
+		{"at once", classifier.NotRun, time.Millisecond, objective, 0},
+		{"after an eighth", classifier.NotRun, objective/heldDivisor + 1, objective, 1},
+		{"without an objective", classifier.NotRun, time.Second, 0, 0},
+		{"may have run", classifier.MayHaveRun, time.Second, objective, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var s Stats
+			s.refused(Refusal{Verdict: c.verdict}, c.wait, c.objective)
+			if n := s.HeldInVain.Load(); n != c.want {
+				t.Errorf("%d counted, expected %d", n, c.want)
+			}
+		})
+	}
+}
