--- a/internal/exchanger/client.go
+++ b/internal/exchanger/client.go
@@ -141,6 +141,9 @@
 	Refused bool
 	// Reused says that the connection had served earlier requests.
 	Reused bool
+	// Silent is how long the peer has sent nothing, not even an interim response, since
+	// it was sent the request.
+	Silent time.Duration
 	// CutShort says that the request's ConnectTimeout ended the connection attempt
 	// before the client's DialTimeout.
 	CutShort bool
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -34,6 +34,9 @@
 	once    sync.Once
 	// sent says that some bytes of the request may have been written.
 	sent bool
+	// heard is when the response began to be awaited, or when the peer last sent an
+	// interim response.
+	heard time.Time
 	// noReuse says that the connection must not be reused, because of
 	// unexpected data or because the response ends it.
 	noReuse bool
@@ -158,6 +161,7 @@
 func (x *exchange) read() (*http.Response, error) {
 	q := &http.Request{Method: x.request.Method}
 	var interim *limiter.Bucket
+	x.heard = time.Now()
 	for range maxResponses {
 		if s := x.client.options.ReadTimeout; s > 0 && !x.request.NoReadTimeout {
 			_ = x.conn.SetReadDeadline(time.Now().Add(s))
@@ -167,6 +171,7 @@
 			return nil, err
 		}
 		if r.StatusCode < http.StatusOK {
+			x.heard = time.Now()
 			if interim == nil {
 				interim = limiter.NewBucket(interimPerSecond, interimBurst)
 			}
@@ -308,6 +313,9 @@
 
 func (x *exchange) wrapError(ctx context.Context, err error) error {
 	e := &Error{Cause: Broken, Sent: x.sent, Reused: x.conn.served > 0, Err: err}
+	if !x.heard.IsZero() {
+		e.Silent = time.Since(x.heard)
+	}
 	switch {
 	case ctx.Err() != nil:
 		e.Cause = Canceled
--- a/internal/forwarder/outage.go
+++ b/internal/forwarder/outage.go
@@ -23,6 +23,9 @@
 	// outageRetention is how long an unreachable node is checked. By then the
 	// membership has either removed it or considers it alive.
 	outageRetention = 30 * time.Second
+	// silentNodeTime is how long a node may send nothing during a call. Its gate sends
+	// three interim responses in that time, also while the call waits for a slot.
+	silentNodeTime = 3 * interimResponseInterval
 )
 
 // outages holds the nodes that are unreachable from this node. Calls avoid them, and
@@ -88,11 +91,9 @@
 }
 
 // recordOutage marks the node of p as unreachable if err means that it did not respond.
-// A connection attempt that was cut short proves nothing: a round trip over a saturated
-// link takes longer.
 func (e *Entry) recordOutage(p gossiper.Endpoint, err error) {
 	var x *exchanger.Error
-	if !errors.As(err, &x) || x.CutShort || (x.Cause != exchanger.Unreachable && x.Cause != exchanger.TimedOut) {
+	if !errors.As(err, &x) || !meansOutage(x) {
 		return
 	}
 	if e.outages.add(p.PeerAddress, time.Now()) {
@@ -101,6 +102,23 @@
 	}
 }
 
+// meansOutage reports whether a call failed because its node does not respond. A
+// connection attempt that was cut short proves nothing: a round trip over a saturated
+// link takes longer. A call that was given up proves it if the node has been silent, as
+// a frozen one is; most calls have shorter deadlines than the timeout of reads.
+func meansOutage(x *exchanger.Error) bool {
+	switch x.Cause {
+	case exchanger.Unreachable:
+		return !x.CutShort
+	case exchanger.TimedOut:
+		return true
+	case exchanger.Canceled:
+		return x.Silent >= silentNodeTime
+	case exchanger.Broken:
+	}
+	return false
+}
+
 // Watch periodically checks the unreachable nodes until ctx is done.
 func (e *Entry) Watch(ctx context.Context) {
 	var g grouper.Group
--- a/internal/forwarder/vanished_test.go
+++ b/internal/forwarder/vanished_test.go
@@ -80,3 +80,44 @@
 		t.Errorf("%v is taken for unreachable after an attempt that was cut short", l)
 	}
 }
+
+// TestSilentNodesAreAvoided has a node that takes requests and sends nothing, as a VM that
+// is frozen. The first call fails at its deadline, which is shorter than the timeout of
+// reads; the next one must be made elsewhere.
+func TestSilentNodesAreAvoided(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	beside := s.Listener.Addr().String()
+	e, _ := newEntry(t, beside, testLimits)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	frozen := l.Addr().String()
+	v := gossiper.NewView([]gossiper.Member{
+		{Node: "frozen", PeerAddress: frozen, DataCenter: e.dataCenter, Targets: []gossiper.Target{{Service: "s", Address: "127.0.0.1:2", Slots: 4}}},
+		{Node: "n", PeerAddress: "127.0.0.1:1", DataCenter: e.dataCenter, Targets: []gossiper.Target{{Service: "s", Address: beside, Slots: 4}}},
+	})
+	e.view = func() *gossiper.View { return v }
+	// The target beside the node looks busy, so that the other one is tried first.
+	for _, p := range v.Service("s") {
+		for range 30 {
+			if p.Node != "frozen" {
+				e.balancer.Start(p, time.Now())
+			}
+		}
+	}
+	for i, want := range []int{http.StatusGatewayTimeout, http.StatusOK} {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil)
+		r.Header.Set("Dragonflydoor-Deadline-Ms", "400")
+		e.ServeHTTP(w, r)
+		if w.Code != want {
+			t.Errorf("call %d: status %d, expected %d: %s", i+1, w.Code, want, w.Body)
+		}
+	}
+	if l := e.outages.list(time.Now()); len(l) != 1 || l[0] != frozen {
+		t.Errorf("%v is taken for unreachable, expected %s", l, frozen)
+	}
+}
