Handle the result of a join attempt in one place, share the set-up of tests

The joiner handled what a peer answered twice, in the loop that asks and in the one that waits. The two tests of vanished and silent nodes built the same mesh, and the benchmark of calls the one of nestedCallNodes. An accessor of a map is gone.

--- a/internal/forwarder/bench_test.go
+++ b/internal/forwarder/bench_test.go
@@ -6,8 +6,6 @@
 	"net/http/httptest"
 	"strconv"
 	"testing"
-
-	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 )
 
 // BenchmarkRemoteCall measures a call from an entry over another node's gate to a
@@ -19,25 +17,12 @@
 		_, _ = w.Write(make([]byte, 400))
 	}))
 	defer s.Close()
-	target := s.Listener.Addr().String()
-	near, _ := newEntry(b, target, testLimits)
-	near.dialect, near.gate.dialect = echoDialect, echoDialect
-	p := httptest.NewServer(near.gate)
-	defer p.Close()
-	far, _ := newEntry(b, target, testLimits)
-	far.dialect, far.gate.dialect = echoDialect, echoDialect
-	v := gossiper.NewView([]gossiper.Member{{
-		Node: "other", PeerAddress: p.Listener.Addr().String(),
-		Targets: []gossiper.Target{{Service: "s", Address: target, Slots: 4}},
-	}})
-	far.view = func() *gossiper.View { return v }
-	e := httptest.NewServer(far)
-	defer e.Close()
+	address, _ := nestedCallNodes(b, s.Listener.Addr().String(), true)
 	n := 0
 	b.ReportAllocs()
 	for b.Loop() {
 		n++
-		r, err := http.NewRequestWithContext(b.Context(), http.MethodGet, e.URL+"/x", nil)
+		r, err := http.NewRequestWithContext(b.Context(), http.MethodGet, "http://"+address+"/x", nil)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/forwarder/strain_test.go
+++ b/internal/forwarder/strain_test.go
@@ -69,7 +69,7 @@
 
 // nestedCallNodes starts an entry and the node beside its only target, which is another
 // node if remote is set. It returns the addresses for callers of both.
-func nestedCallNodes(t *testing.T, target string, remote bool) (address, beside string) {
+func nestedCallNodes(t testing.TB, target string, remote bool) (address, beside string) {
 	t.Helper()
 	near, _ := newEntry(t, target, testLimits)
 	near.dialect, near.gate.dialect = echoDialect, echoDialect
@@ -87,7 +87,7 @@
 	return serveEntry(t, far), beside
 }
 
-func serveEntry(t *testing.T, e *Entry) string {
+func serveEntry(t testing.TB, e *Entry) string {
 	t.Helper()
 	s := httptest.NewServer(e)
 	t.Cleanup(s.Close)
--- a/internal/forwarder/vanished_test.go
+++ b/internal/forwarder/vanished_test.go
@@ -45,29 +45,35 @@
 	return ""
 }
 
-// TestCallsLeaveVanishedNodesInTime has a call whose deadline is shorter than the time
-// in which connections to nodes usually fail, as calls between targets have, and a VM
-// that vanished a moment ago. The call must be made at the other target in time.
-func TestCallsLeaveVanishedNodesInTime(t *testing.T) {
-	const left = 400 * time.Millisecond
+// newEntryBesideBusyTarget returns an entry with two targets. The one beside it looks
+// busy, so that the other one, on the node at the peer address, is tried first.
+func newEntryBesideBusyTarget(t *testing.T, peer string) *Entry {
+	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	defer s.Close()
+	t.Cleanup(s.Close)
 	beside := s.Listener.Addr().String()
 	e, _ := newEntry(t, beside, testLimits)
-	gone := silentAddress(t)
 	v := gossiper.NewView([]gossiper.Member{
-		{Node: "gone", PeerAddress: gone, DataCenter: e.dataCenter, Targets: []gossiper.Target{{Service: "s", Address: "127.0.0.1:2", Slots: 4}}},
+		{Node: "other", PeerAddress: peer, DataCenter: e.dataCenter, Targets: []gossiper.Target{{Service: "s", Address: "127.0.0.1:2", Slots: 4}}},
 		{Node: "n", PeerAddress: "127.0.0.1:1", DataCenter: e.dataCenter, Targets: []gossiper.Target{{Service: "s", Address: beside, Slots: 4}}},
 	})
 	e.view = func() *gossiper.View { return v }
-	// The target beside the node looks busy, so that the other one is tried first.
 	for _, p := range v.Service("s") {
 		for range 30 {
-			if p.Node != "gone" {
+			if p.Node != "other" {
 				e.balancer.Start(p, time.Now())
 			}
 		}
 	}
+	return e
+}
+
+// TestCallsLeaveVanishedNodesInTime has a call whose deadline is shorter than the time
+// in which connections to nodes usually fail, as calls between targets have, and a VM
+// that vanished a moment ago. The call must be made at the other target in time.
+func TestCallsLeaveVanishedNodesInTime(t *testing.T) {
+	const left = 400 * time.Millisecond
+	e := newEntryBesideBusyTarget(t, silentAddress(t))
 	w := httptest.NewRecorder()
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil)
 	r.Header.Set("Dragonflydoor-Deadline-Ms", "400")
@@ -85,29 +91,13 @@
 // is frozen. The first call fails at its deadline, which is shorter than the timeout of
 // reads; the next one must be made elsewhere.
 func TestSilentNodesAreAvoided(t *testing.T) {
-	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	defer s.Close()
-	beside := s.Listener.Addr().String()
-	e, _ := newEntry(t, beside, testLimits)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
 	frozen := l.Addr().String()
-	v := gossiper.NewView([]gossiper.Member{
-		{Node: "frozen", PeerAddress: frozen, DataCenter: e.dataCenter, Targets: []gossiper.Target{{Service: "s", Address: "127.0.0.1:2", Slots: 4}}},
-		{Node: "n", PeerAddress: "127.0.0.1:1", DataCenter: e.dataCenter, Targets: []gossiper.Target{{Service: "s", Address: beside, Slots: 4}}},
-	})
-	e.view = func() *gossiper.View { return v }
-	// The target beside the node looks busy, so that the other one is tried first.
-	for _, p := range v.Service("s") {
-		for range 30 {
-			if p.Node != "frozen" {
-				e.balancer.Start(p, time.Now())
-			}
-		}
-	}
+	e := newEntryBesideBusyTarget(t, frozen)
 	for i, want := range []int{http.StatusGatewayTimeout, http.StatusOK} {
 		w := httptest.NewRecorder()
 		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil)
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -255,7 +255,7 @@
 // would go before another, and those that have waited longest would take the slots.
 func (g *Gate) likelyDuration(class string) time.Duration {
 	d := g.p90Duration(class)
-	if o := g.objectives.of(class); o > 0 {
+	if o := g.objectives[class]; o > 0 {
 		d = min(d, time.Duration(achievableShare*float64(o)))
 	}
 	return d
--- a/internal/gatekeeper/objective.go
+++ b/internal/gatekeeper/objective.go
@@ -21,5 +21,3 @@
 	}
 	(*u)[class] = max(time.Duration(objectiveDecay*float64((*u)[class])), left)
 }
-
-func (u usualObjectives) of(class string) time.Duration { return u[class] }
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -126,6 +126,12 @@
 	defer cancel()
 	results := make(chan result, len(addresses))
 	ended, asked := 0, 0
+	joinedBy := func(r result) bool {
+		ended++
+		r.log()
+		busy = busy || (!r.joined && r.err == nil)
+		return r.joined
+	}
 	for _, i := range rand.Perm(len(addresses)) {
 		a := addresses[i]
 		if a == j.self {
@@ -136,20 +142,14 @@
 			ok, err := j.exchanger.Exchange(ctx, a, true)
 			results <- result{address: a, joined: ok, err: err}
 		})
-		if r, ok := receive(results, silentPause); ok {
-			ended++
-			if r.log(); r.joined {
-				return r.address, false
-			}
-			busy = busy || r.err == nil
+		if r, ok := receive(results, silentPause); ok && joinedBy(r) {
+			return r.address, false
 		}
 	}
-	for ; ended < asked; ended++ {
-		r := <-results
-		if r.log(); r.joined {
+	for ended < asked {
+		if r := <-results; joinedBy(r) {
 			return r.address, false
 		}
-		busy = busy || r.err == nil
 	}
 	return "", busy
 }
