--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -32,6 +32,8 @@
 	// extra makes it send the answer a second time, late: before the next response
 	// on the connection.
 	extra bool
+	// crash makes the server crash while it runs the request.
+	crash bool
 	work  time.Duration
 }
 
@@ -80,6 +82,21 @@
 	s.w.rec.add("server %s exits", s.id)
 }
 
+// crash ends the server as a crash does: its connections are reset.
+func (s *server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+	_ = s.listener.Close()
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	s.w.rec.add("server %s crashes", s.id)
+}
+
 func (s *server) accept() {
 	for {
 		c, err := s.listener.Accept()
@@ -155,6 +172,10 @@
 	s.count(1)
 	time.Sleep(o.work)
 	s.count(-1)
+	if o.crash {
+		s.crash()
+		return nil, false
+	}
 	body := "done " + a.id + " by " + s.id
 	s.mu.Lock()
 	load := fmt.Sprintf("%d,0,%d", s.running, s.slots)
