--- a/review/harness/long_body.go
+++ b/review/harness/long_body.go
@@ -20,7 +20,7 @@
 		// serves after its confirmation: drain and a little longer.
 		gap    = time.Second
 		leaves = 3 * time.Second
-		rounds = 2
+		rounds = 4
 	)
 	if err := w.begin(); err != nil {
 		return err
@@ -77,7 +77,7 @@
 	go func() {
 		defer close(stop)
 		if !w.trouble {
-			time.Sleep(12 * time.Second)
+			time.Sleep(24 * time.Second)
 			return
 		}
 		for i := range rounds {
