--- a/review/harness/client_test.go
+++ b/review/harness/client_test.go
@@ -60,15 +60,15 @@
 	r.Host = host
 	r.Header.Set("Dragonflydoor-Request-Id", q.id)
 	r.Header.Set("Dragonflydoor-Deadline-Ms", fmt.Sprint(q.limit.Milliseconds()))
-	w.rec.add("client at %s sends %s %s %s, body %d bytes %s", n.name, q.id, q.method, q.path, len(q.body), hashOf(q.body))
+	w.event("sent "+q.path, "client at %s sends %s %s %s, body %d bytes %s", n.name, q.id, q.method, q.path, len(q.body), hashOf(q.body))
 	a, err := client.Do(r)
 	if err != nil {
-		w.rec.add("client at %s: %s ended: %v", n.name, q.id, err)
+		w.event("ended without an answer "+q.path, "client at %s: %s ended: %v", n.name, q.id, err)
 		return reply{err: err, sent: t, took: time.Since(t)}
 	}
 	defer func() { _ = a.Body.Close() }()
 	d, err := io.ReadAll(a.Body)
-	w.rec.add("client at %s: %s answered %d after %s, %v", n.name, q.id, a.StatusCode, time.Since(t).Round(time.Millisecond), err)
+	w.event(fmt.Sprintf("answered %d %s", a.StatusCode, q.path), "client at %s: %s answered %d after %s, %v", n.name, q.id, a.StatusCode, time.Since(t).Round(time.Millisecond), err)
 	return reply{status: a.StatusCode, body: string(d), err: err, sent: t, took: time.Since(t)}
 }
 
--- a/review/harness/server_test.go
+++ b/review/harness/server_test.go
@@ -10,11 +10,17 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
 
-const heartbeatInterval = 1500 * time.Millisecond
+const (
+	heartbeatInterval = 1500 * time.Millisecond
+	connectionClose   = "Connection: close\r\n"
+	// maxHeadBytes is above the size of a head that a server sends.
+	maxHeadBytes = 1 << 10
+)
 
 // arrival is a request that a server has read to its end.
 type arrival struct {
@@ -34,7 +40,11 @@
 	extra bool
 	// crash makes the server crash while it runs the request.
 	crash bool
-	work  time.Duration
+	// bodyBytes is the size of the answer, if it is not zero. With noLength the answer
+	// has no length and ends with the connection.
+	bodyBytes int
+	noLength  bool
+	work      time.Duration
 }
 
 // server is a back end beside a node. It serves one request at a time on a
@@ -142,6 +152,9 @@
 		if extra {
 			late = o
 		}
+		if bytes.Contains(o[:min(len(o), maxHeadBytes)], []byte(connectionClose)) {
+			return
+		}
 	}
 }
 
@@ -168,7 +181,7 @@
 		s.w.rec.add("server %s: request %s rejected, 503, not executed%s", s.id, a.id, map[bool]string{true: "; a second copy of this answer will come late"}[o.extra])
 		return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nDragonflydoor-Request-Id: %s\r\nDragonflydoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", a.id), o.extra
 	}
-	s.w.rec.add("server %s: runs request %s %s %s, body %d bytes %s, from %s", s.id, a.id, a.method, a.path, a.bodyBytes, a.bodyHash, a.caller)
+	s.w.event("run by "+s.id, "server %s: runs request %s %s %s, body %d bytes %s, from %s", s.id, a.id, a.method, a.path, a.bodyBytes, a.bodyHash, a.caller)
 	s.count(1)
 	time.Sleep(o.work)
 	s.count(-1)
@@ -177,10 +190,17 @@
 		return nil, false
 	}
 	body := "done " + a.id + " by " + s.id
+	if o.bodyBytes > 0 {
+		body = strings.Repeat("s", o.bodyBytes)
+	}
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	if o.noLength {
+		length = connectionClose
+	}
 	s.mu.Lock()
 	load := fmt.Sprintf("%d,0,%d", s.running, s.slots)
 	s.mu.Unlock()
-	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nDragonflydoor-Request-Id: %s\r\nDragonflydoor-Server-Signature: %s.%s\r\nDragonflydoor-Server-Load: %s\r\nContent-Length: %d\r\n\r\n%s", a.id, s.id, a.id, load, len(body), body), o.extra
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nDragonflydoor-Request-Id: %s\r\nDragonflydoor-Server-Signature: %s.%s\r\nDragonflydoor-Server-Load: %s\r\n%s\r\n%s", a.id, s.id, a.id, load, length, body), o.extra
 }
 
 func (s *server) count(n int) {
--- a/review/harness/world_test.go
+++ b/review/harness/world_test.go
@@ -52,8 +52,38 @@
 	nodes     map[string]*node
 	standin   *exec.Cmd
 
+	// brief makes the record count ordinary requests by second instead of listing them.
+	brief bool
+
 	mu         sync.Mutex
 	violations []string
+	counts     map[string]int
+}
+
+// event records what happened to an ordinary request: a line of its own, or in a brief
+// record a count of its kind.
+func (w *world) event(kind, format string, args ...any) {
+	if !w.brief {
+		w.rec.add(format, args...)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.counts == nil {
+		w.counts = make(map[string]int)
+		time.AfterFunc(time.Second, w.flush)
+	}
+	w.counts[kind]++
+}
+
+// flush writes the counts of the last second.
+func (w *world) flush() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.counts) > 0 {
+		w.rec.add("in the last second: %v", w.counts)
+	}
+	w.counts = nil
 }
 
 // violate notes that the rule of the case was broken.
