--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/dragonflydoor ] && [ -x review/bin/harness ] || { echo "run the build of the deploy file and review/build.sh first"; exit 2; }
-exec review/bin/harness silent-store review/5
+exec review/bin/harness lost-watchers review/5
