--- a/review/harness/leaver_test.go
+++ b/review/harness/leaver_test.go
@@ -92,26 +92,39 @@
 // their downloads.
 func leaver(w *world) error {
 	const (
-		calm          = time.Second
-		leaveAfter    = 300 * time.Millisecond
-		leaveFor      = 9 * time.Second
-		pause         = time.Second
-		rounds        = 3
-		after         = 50 * time.Second
-		slowShare     = 0.3
-		noLengthShare = 0.05
-		fileEvery     = 10 * time.Millisecond
-		readEvery     = 5 * time.Millisecond
-		work          = 20 * time.Millisecond
-		slots         = 6
-		fileBytes     = 280_000
-		limit         = 2500 * time.Millisecond
-		end           = calm + rounds*(leaveFor+pause)
+		calm = time.Second
+		// In each round, clients on slow links leave soon after their request for the
+		// first part, and later for the second.
+		leaveSoon, leaveSoonFor = 300 * time.Millisecond, 4 * time.Second
+		leaveLate, leaveLateFor = 600 * time.Millisecond, 5 * time.Second
+		pause                   = time.Second
+		rounds                  = 3
+		after                   = 50 * time.Second
+		slowShare               = 0.3
+		noLengthShare           = 0.05
+		fileEvery               = 10 * time.Millisecond
+		readEvery               = 5 * time.Millisecond
+		work                    = 20 * time.Millisecond
+		slots                   = 6
+		fileBytes               = 280_000
+		limit                   = 2500 * time.Millisecond
+		round                   = leaveSoonFor + leaveLateFor + pause
+		end                     = calm + rounds*round
 	)
-	// leaving reports whether clients on slow links leave at a time of the run.
-	leaving := func(t time.Duration) bool {
+	// leaveAfter returns how long after its request a client on a slow link leaves at a
+	// time of the run, or zero if it stays.
+	leaveAfter := func(t time.Duration) time.Duration {
 		t -= calm
-		return w.trouble && t >= 0 && t < end-calm && t%(leaveFor+pause) < leaveFor
+		if !w.trouble || t < 0 || t >= rounds*round {
+			return 0
+		}
+		switch t %= round; {
+		case t < leaveSoonFor:
+			return leaveSoon
+		case t < leaveSoonFor+leaveLateFor:
+			return leaveLate
+		}
+		return 0
 	}
 	w.brief = true
 	if err := w.begin(); err != nil {
@@ -185,11 +198,11 @@
 		g.Go(func() {
 			every(fileEvery, stop, func() {
 				slow := rand.Float64() < slowShare
-				if slow && leaving(time.Since(begun)) {
+				if d := leaveAfter(time.Since(begun)); slow && d > 0 {
 					mu.Lock()
 					left++
 					mu.Unlock()
-					w.download(n, "/file/1", slow, limit, leaveAfter)
+					w.download(n, "/file/1", slow, limit, d)
 					return
 				}
 				note("file", w.download(n, "/file/1", slow, limit, 0))
