Reject instance IDs that cannot be passed on in headers and gossip

Cause: an instance ID was checked for its length only. One that is no UTF-8 made EncodePacket panic in the tick loop, which ends the process; one with a line break was written into the header Dragonflydoor-Expect-Instance of each request. IDs come by the path of a report, the path of a departure, the header of a health check's answer, and the record of an earlier process that other nodes return.

Why this works: the registrar, through which all four ways lead, takes visible ASCII only, so that nothing else reaches gossip or a header. As a second check on the way out, the client for targets and nodes refuses a request that would be read as another one, and a packet that cannot be encoded is dropped and logged.

--- a/internal/exchanger/client.go
+++ b/internal/exchanger/client.go
@@ -124,9 +124,11 @@
 	Broken
 	// Canceled means that the context was done.
 	Canceled
+	// Invalid means that the request cannot be written as one HTTP request.
+	Invalid
 )
 
-var causeNames = [...]string{"", "unreachable", "silent", "broken", "ended"}
+var causeNames = [...]string{"", "unreachable", "silent", "broken", "ended", "invalid"}
 
 // String returns the name used in logs.
 func (c Cause) String() string { return causeNames[c] }
@@ -196,6 +198,9 @@
 // Every error is an *Error. If ctx is done before the body has been read, the
 // exchange is aborted.
 func (c *Client) Do(ctx context.Context, address string, q *Request) (*Response, error) {
+	if err := q.check(); err != nil {
+		return nil, &Error{Cause: Invalid, Err: err}
+	}
 	k, err := c.acquire(ctx, address, q)
 	if err != nil {
 		return nil, err
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -11,8 +11,12 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
+	"unicode"
+
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/dragonflydoor/dragonflydoor/internal/limiter"
 )
@@ -128,8 +132,32 @@
 	maxInlineBodyBytes = 16 << 10
 )
 
-// appendRequestHeader appends the header of q to b. It does not check for line
-// breaks in its parts: net/http rejects them in incoming requests.
+// check returns an error if a part of q would change the meaning of the header that
+// appendRequestHeader writes.
+func (q *Request) check() error {
+	if !httpguts.ValidHeaderFieldName(q.Method) {
+		return fmt.Errorf("method %q is not valid", q.Method)
+	}
+	if q.URI == "" || strings.ContainsFunc(q.URI, func(c rune) bool { return c <= ' ' || c == unicode.MaxASCII }) {
+		return fmt.Errorf("path %q is not valid", q.URI)
+	}
+	if !httpguts.ValidHostHeader(q.Host) {
+		return fmt.Errorf("host %q is not valid", q.Host)
+	}
+	for n, l := range q.Header {
+		if !httpguts.ValidHeaderFieldName(n) {
+			return fmt.Errorf("header name %q is not valid", n)
+		}
+		for _, v := range l {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return fmt.Errorf("header %s has the invalid value %q", n, v)
+			}
+		}
+	}
+	return nil
+}
+
+// appendRequestHeader appends the header of q, which check has accepted, to b.
 func appendRequestHeader(b []byte, q *Request) []byte {
 	b = append(b, q.Method...)
 	b = append(b, ' ')
--- a/internal/forwarder/outage.go
+++ b/internal/forwarder/outage.go
@@ -114,7 +114,7 @@
 		return true
 	case exchanger.Canceled:
 		return x.Silent >= silentNodeTime
-	case exchanger.Broken:
+	case exchanger.Broken, exchanger.Invalid:
 	}
 	return false
 }
--- a/internal/forwarder/probe.go
+++ b/internal/forwarder/probe.go
@@ -17,7 +17,7 @@
 
 // Probe requests the health check of the target of a service at address and returns
 // the instance that runs there. An error means that the target is not healthy or does
-// not state its instance.
+// not state a valid instance.
 func (g *Gate) Probe(ctx context.Context, service, address, path string) (registrar.Announcement, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -30,8 +30,8 @@
 		return registrar.Announcement{}, classify(ctx, err, "gate: target "+address)
 	}
 	id := r.Header.Get(g.dialect.Self)
-	if r.Status != http.StatusOK || id == "" {
-		return registrar.Announcement{}, classifier.Error(classifier.Unavailable, classifier.NotRun, "gate: target %s answered with status %d and life %q", address, r.Status, id)
+	if r.Status != http.StatusOK || !registrar.ValidInstance(id) {
+		return registrar.Announcement{}, classifier.Error(classifier.Unavailable, classifier.NotRun, "gate: target %s answered with status %d and instance %q", address, r.Status, id)
 	}
 	return registrar.Announcement{
 		Instance: id,
--- a/internal/gossiper/core_test.go
+++ b/internal/gossiper/core_test.go
@@ -46,7 +46,11 @@
 		if !ok || f.lost(from, o.Address) {
 			continue
 		}
-		p, err := DecodePacket(EncodePacket(o.Packet))
+		b, err := EncodePacket(o.Packet)
+		if err != nil {
+			panic(err)
+		}
+		p, err := DecodePacket(b)
 		if err != nil {
 			panic(err)
 		}
@@ -204,13 +208,21 @@
 
 func FuzzDecodePacket(f *testing.F) {
 	c := newNetwork(2).cores["n1"]
-	f.Add(EncodePacket(c.PingAddress("n0").Packet))
-	f.Fuzz(func(_ *testing.T, data []byte) {
+	b, err := EncodePacket(c.PingAddress("n0").Packet)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, data []byte) {
 		p, err := DecodePacket(data)
 		if err != nil {
 			return
 		}
 		c := newNetwork(2).cores["n0"]
-		c.Receive("n1", p, time.Unix(1_800_000_001, 0))
+		for _, o := range c.Receive("n1", p, time.Unix(1_800_000_001, 0)) {
+			if _, err := EncodePacket(o.Packet); err != nil {
+				t.Error(err)
+			}
+		}
 	})
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -309,7 +309,12 @@
 			klog.Errorf(logPrefix+"Address %s is unusable: %v", o.Address, err)
 			continue
 		}
-		n, err := g.socket.WriteTo(EncodePacket(o.Packet), a)
+		b, err := EncodePacket(o.Packet)
+		if err != nil {
+			klog.Errorf(logPrefix+"A packet to %s was not sent: %v", o.Address, err)
+			continue
+		}
+		n, err := g.socket.WriteTo(b, a)
 		if err == nil {
 			g.traffic.AddSent(n)
 		}
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -40,8 +40,8 @@
 	Strikes     []quarantiner.Strike
 }
 
-// EncodePacket returns the wire form of p.
-func EncodePacket(p Packet) []byte {
+// EncodePacket returns the wire form of p. It fails if a text in p is not valid UTF-8.
+func EncodePacket(p Packet) ([]byte, error) {
 	w := &messenger.Packet{
 		Kind:        uint32(p.Kind),
 		Number:      p.Number,
@@ -65,9 +65,9 @@
 	}
 	b, err := proto.Marshal(w)
 	if err != nil {
-		panic("gossiper: " + err.Error())
+		return nil, fmt.Errorf("gossiper: encode packet: %w", err)
 	}
-	return b
+	return b, nil
 }
 
 // DecodePacket parses the wire form of a packet.
--- a/internal/gossiper/scale_test.go
+++ b/internal/gossiper/scale_test.go
@@ -68,7 +68,10 @@
 
 func (s *scaleNetwork) deliver(from string, list []Outgoing) {
 	for _, o := range list {
-		b := EncodePacket(o.Packet)
+		b, err := EncodePacket(o.Packet)
+		if err != nil {
+			panic(err)
+		}
 		s.packets++
 		s.bytes += len(b)
 		c, ok := s.cores[o.Address]
--- a/internal/measurer/known.go
+++ b/internal/measurer/known.go
@@ -91,8 +91,11 @@
 		if err != nil || p.Kind != gossiper.Ping {
 			continue
 		}
-		k := gossiper.Packet{Kind: gossiper.Ack, Number: p.Number, From: "made-up-0", TableDigest: p.TableDigest}
-		_, _ = s.WriteTo(gossiper.EncodePacket(k), a)
+		k, err := gossiper.EncodePacket(gossiper.Packet{Kind: gossiper.Ack, Number: p.Number, From: "made-up-0", TableDigest: p.TableDigest})
+		if err != nil {
+			return
+		}
+		_, _ = s.WriteTo(k, a)
 	}
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -27,9 +27,21 @@
 	// silenceDivisor is the divisor of the TTL that gives how long a target may be
 	// silent before a process with an earlier start time may replace it. The system
 	// clock may have gone back between the two starts.
-	silenceDivisor = 3
+	silenceDivisor   = 3
+	maxInstanceBytes = 200
 )
 
+// ValidInstance reports whether name can be passed on unchanged in headers, gossip and
+// logs: it has 1 to maxInstanceBytes visible ASCII characters (RFC 9110, section 5.5).
+func ValidInstance(name string) bool {
+	for i := range len(name) {
+		if c := name[i]; c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return name != "" && len(name) <= maxInstanceBytes
+}
+
 // Announcement is the state that a target reports of itself.
 type Announcement struct {
 	// Instance identifies one process of the target; empty if the target does not
@@ -82,9 +94,11 @@
 	Drained
 	// Stale means that the announcement is older than the known state.
 	Stale
+	// Invalid means that the announcement has an unusable instance name.
+	Invalid
 )
 
-var outcomeNames = [...]string{"", "renewed", "added", "drained", "stale"}
+var outcomeNames = [...]string{"", "renewed", "added", "drained", "stale", "invalid"}
 
 // String returns the name used in logs.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -121,8 +135,12 @@
 }
 
 // Announce adds or renews a target. A target that was removed starts cold; a
-// draining one keeps draining.
+// draining one keeps draining. An announcement with an invalid instance name has no
+// effect.
 func (r *Registrar) Announce(a Announcement, l router.Limits, now time.Time) Outcome {
+	if a.Instance != "" && !ValidInstance(a.Instance) {
+		return Invalid
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stale(a, now) {
@@ -278,6 +296,9 @@
 // RecordDeparture permanently stops new requests to one process of a target. It reports
 // whether that process was known.
 func (r *Registrar) RecordDeparture(instance string, now time.Time) bool {
+	if !ValidInstance(instance) {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.targets {
@@ -305,7 +326,7 @@
 	defer r.mu.Unlock()
 	changed := false
 	for _, f := range earlier {
-		if !f.Draining || f.Instance == "" {
+		if !f.Draining || !ValidInstance(f.Instance) {
 			continue
 		}
 		r.storeDeparture(f, now)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +89,29 @@
 		t.Errorf("expired %v, gossiped %v", l, gossiped)
 	}
 }
+
+// TestInvalidInstancesAreIgnored guards against instance names that cannot be gossiped,
+// whichever way they come: in an announcement, a departure, the answer to a probe, or the
+// record of an earlier process of the node.
+func TestInvalidInstancesAreIgnored(t *testing.T) {
+	for _, name := range []string{"\xff\xfe", "a\r\n", "a\x00", "a b", "\u00e9", strings.Repeat("a", maxInstanceBytes+1)} {
+		changes := 0
+		r := Registrar{Changed: func([]gossiper.Target) { changes++ }}
+		r.Announce(announcement("a", 1, 1), router.Limits{Slots: 4}, start)
+		changes = 0
+		odd := announcement(name, 2, 1)
+		if o := r.Announce(odd, router.Limits{Slots: 4}, start); o != Invalid {
+			t.Errorf("%q: announcement was %s", name, o)
+		}
+		if o := r.Announce(probed(odd), router.Limits{Slots: 4}, start); o != Invalid {
+			t.Errorf("%q: announcement from a probe was %s", name, o)
+		}
+		if r.RecordDeparture(name, start) || len(r.departed) != 0 {
+			t.Errorf("%q: departure was recorded", name)
+		}
+		r.RestoreDepartures([]gossiper.Target{{Service: "s", Address: address, Instance: name, Draining: true, StartedAtUnixMS: 9}}, start)
+		if f, ok := r.Find("s", address); changes != 0 || !ok || f.Instance != "a" || f.Draining {
+			t.Errorf("%q: %d changes, found %v, %+v", name, changes, ok, f.Announcement)
+		}
+	}
+}
--- a/internal/runner/identify.go
+++ b/internal/runner/identify.go
@@ -78,6 +78,5 @@
 	if len(n.registrar.List()) > 0 {
 		return true
 	}
-	n.take(a)
-	return true
+	return n.take(a) == nil
 }
--- a/internal/runner/local.go
+++ b/internal/runner/local.go
@@ -63,17 +63,23 @@
 	if a.profile != "" {
 		n.entry.SetProfile(a.profile)
 	}
-	n.take(a.Announcement)
+	if err := n.take(a.Announcement); err != nil {
+		fail(w, http.StatusBadRequest, err)
+	}
 }
 
 // take registers what a target says of itself and logs what it changes.
-func (n *Node) take(a registrar.Announcement) {
+func (n *Node) take(a registrar.Announcement) error {
 	o := n.registrar.Announce(a, n.limits(a), time.Now())
 	if o == registrar.Renewed {
-		return
+		return nil
 	}
 	klog.InfoS("Target announced itself", "outcome", o, "target", a.Address, "service", a.Service, "instance", a.Instance,
 		"born", a.StartedAtUnixMS, "sequence", a.Sequence, "draining", a.Draining, "slots", a.Slots, "cold", a.ColdRemaining)
+	if o == registrar.Invalid {
+		return fmt.Errorf("instance name %q is not valid", a.Instance)
+	}
+	return nil
 }
 
 // limitTargets keeps the targets' limits those of the configuration in force.
@@ -101,8 +107,7 @@
 		// Only this address can be reached from here.
 		a.Address = t
 	}
-	n.take(a)
-	return nil
+	return n.take(a)
 }
 
 // Depart closes the gate of a target that leaves.
