Ignore records of relays in the store that hold no address

A record under relays/ with other bytes kept a slot for good, so that a data centre had one watcher of the store less, or none; a joining node and a listing relay looked its text up as a host name, which blocks; relays had pinged it.

Evidence: with the check of the record taken out in a scratch copy, TestSlotsWithoutAddressAreFree finds no free slot and TestRecordsWithoutAddressAreNotJoined asks five more records than the one it may.

Why this works: an address is an IP number with a port. What is none is logged and skipped; its slot is free and is replaced at its revision, so that a writer in between is not overwritten. Packets are sent to numeric addresses only, without a lookup. The joiner's tests name relays by addresses now, as records do.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -304,7 +305,8 @@
 
 func (g *Gossiper) send(list []Outgoing) {
 	for _, o := range list {
-		a, err := net.ResolveUDPAddr("udp", o.Address)
+		// Addresses are numeric; a name would block the loop with a lookup.
+		a, err := netip.ParseAddrPort(o.Address)
 		if err != nil {
 			klog.Errorf(logPrefix+"Address %s is unusable: %v", o.Address, err)
 			continue
@@ -314,7 +316,7 @@
 			klog.Errorf(logPrefix+"A packet to %s was not sent: %v", o.Address, err)
 			continue
 		}
-		n, err := g.socket.WriteTo(b, a)
+		n, err := g.socket.WriteTo(b, net.UDPAddrFromAddrPort(a))
 		if err == nil {
 			g.traffic.AddSent(n)
 		}
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -196,7 +196,9 @@
 	}
 	var r []string
 	for _, i := range l {
-		r = append(r, string(i.Value.Data))
+		if a, ok := i.RelayAddress(); ok {
+			r = append(r, a)
+		}
 	}
 	return r
 }
--- a/internal/joiner/joiner_test.go
+++ b/internal/joiner/joiner_test.go
@@ -69,7 +69,7 @@
 				var mu sync.Mutex
 				for i := range n {
 					g.Go(func() {
-						a := strconv.Itoa(i)
+						a := "127.0.0.1:" + strconv.Itoa(i+1)
 						j := New(busyPeers{}, s, a, nil)
 						j.FirstStart = true
 						if j.Join(t.Context()) == "" {
@@ -102,9 +102,10 @@
 func TestBusyPeersAreRetried(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &relayStore{}
-		s.register("r")
+		const relay = "127.0.0.1:1"
+		s.register(relay)
 		time.Sleep(2 * lag)
-		if New(busyPeers{until: time.Now().Add(5 * time.Second)}, s, "n", nil).Join(t.Context()) != "r" {
+		if New(busyPeers{until: time.Now().Add(5 * time.Second)}, s, "n", nil).Join(t.Context()) != relay {
 			t.Error("the node has not joined")
 		}
 		if s.current+s.recent != 1 {
@@ -129,7 +130,8 @@
 // Until they have joined they know no targets.
 func TestJoinDoesNotWaitForDarkPeers(t *testing.T) {
 	const bound = 500 * time.Millisecond
-	relays := []string{"a", "b", "c", "d", "e"}
+	const alive = "127.0.0.1:3"
+	relays := []string{"127.0.0.1:1", "127.0.0.1:2", alive, "127.0.0.1:4", "127.0.0.1:5"}
 	for range 20 {
 		synctest.Test(t, func(t *testing.T) {
 			s := &relayStore{}
@@ -138,7 +140,7 @@
 			}
 			time.Sleep(2 * lag)
 			start := time.Now()
-			if a := New(darkPeers{alive: "c"}, s, "n", nil).Join(t.Context()); a != "c" {
+			if a := New(darkPeers{alive: alive}, s, "n", nil).Join(t.Context()); a != alive {
 				t.Errorf("joined through %q", a)
 			}
 			if d := time.Since(start); d > bound {
@@ -147,3 +149,26 @@
 		})
 	}
 }
+
+// countingPeers counts the exchanges that are asked for, and answers none.
+type countingPeers struct{ asked *[]string }
+
+func (p countingPeers) Exchange(_ context.Context, address string, _ bool) (bool, error) {
+	*p.asked = append(*p.asked, address)
+	return false, nil
+}
+
+// TestRecordsWithoutAddressAreNotJoined guards against records of another writer among
+// those of relays: looking up a name would block.
+func TestRecordsWithoutAddressAreNotJoined(t *testing.T) {
+	s := &relayStore{}
+	for _, r := range []string{"\xff\xfe", "", "nowhere.example:80", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:1\r\n", "127.0.0.1:2"} {
+		s.register(r)
+	}
+	var asked []string
+	j := New(countingPeers{&asked}, s, "n", nil)
+	j.acceptStale = false
+	if a := j.round(t.Context()); a != "" || !slices.Equal(asked, []string{"127.0.0.1:2"}) {
+		t.Errorf("asked %q", asked)
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -229,20 +229,20 @@
 	return true, nil
 }
 
-// freeSlot returns the key and revision of a slot that is free or that this node
-// held before it restarted.
+// freeSlot returns the key and revision of a slot that is free, holds no address, or
+// was held by this node before it restarted.
 func (r *Relayer) freeSlot(self gossiper.Member, taken []storer.Item) (string, uint64, bool) {
-	m := make(map[string]bool)
+	m := make(map[string]storer.Item)
 	for _, i := range taken {
 		if string(i.Value.Data) == self.PeerAddress {
 			return i.Key, i.Value.Revision, true
 		}
-		m[i.Key] = true
+		m[i.Key] = i
 	}
 	for i := range r.slots {
 		k := fmt.Sprintf("%s%s/%d", storer.RelayPrefix, self.DataCenter, i)
-		if !m[k] {
-			return k, 0, true
+		if _, taken := m[k].RelayAddress(); !taken {
+			return k, m[k].Value.Revision, true
 		}
 	}
 	return "", 0, false
@@ -264,7 +264,12 @@
 	}
 	self := r.gossiper.Self().PeerAddress
 	for _, i := range l {
-		if a := string(i.Value.Data); a != self {
+		a, ok := i.RelayAddress()
+		if !ok {
+			klog.InfoS("Record of a relay holds no address", "key", i.Key, "revision", i.Value.Revision)
+			continue
+		}
+		if a != self {
 			r.gossiper.PingAddress(a)
 		}
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -63,3 +63,36 @@
 		})
 	}
 }
+
+// TestSlotsWithoutAddressAreFree guards against records of another writer that keep the
+// slots of relays: such a slot is free, and is replaced at its revision.
+func TestSlotsWithoutAddressAreFree(t *testing.T) {
+	self := gossiper.Member{Node: "n1", PeerAddress: "127.0.0.1:1", DataCenter: "z"}
+	item := func(key, data string, revision uint64) storer.Item {
+		return storer.Item{Key: storer.RelayPrefix + key, Value: storer.Value{Data: []byte(data), Revision: revision}}
+	}
+	tests := []struct {
+		name     string
+		taken    []storer.Item
+		key      string
+		revision uint64
+	}{
+		{"no record", nil, "z/0", 0},
+		{"one relay", []storer.Item{item("z/0", "127.0.0.2:1", 3)}, "z/1", 0},
+		{"bytes that are no address", []storer.Item{item("z/0", "\xff\xfe", 3), item("z/1", "127.0.0.2:1", 4)}, "z/0", 3},
+		{"an empty record", []storer.Item{item("z/0", "127.0.0.2:1", 3), item("z/1", "", 4)}, "z/1", 4},
+		{"a name", []storer.Item{item("z/0", "nowhere.example:80", 3), item("z/1", "127.0.0.2:1", 4)}, "z/0", 3},
+		{"own record", []storer.Item{item("z/0", "\xff", 3), item("z/1", "127.0.0.1:1", 4)}, "z/1", 4},
+		{"all taken", []storer.Item{item("z/0", "127.0.0.2:1", 3), item("z/1", "127.0.0.3:1", 4)}, "", 0},
+	}
+	for _, c := range tests {
+		r := &Relayer{slots: 2}
+		k, n, ok := r.freeSlot(self, c.taken)
+		if c.key != "" {
+			c.key = storer.RelayPrefix + c.key
+		}
+		if k != c.key || n != c.revision || ok != (c.key != "") {
+			t.Errorf("%s: got %q at revision %d, %v", c.name, k, n, ok)
+		}
+	}
+}
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 )
 
@@ -27,6 +28,14 @@
 	Value Value
 }
 
+// RelayAddress returns the peer address in a relay's record. It returns false if the
+// record holds no address, since others can write to the store too.
+func (i Item) RelayAddress() (string, bool) {
+	s := string(i.Value.Data)
+	a, err := netip.ParseAddrPort(s)
+	return s, err == nil && a.Port() > 0
+}
+
 // LeaseID identifies a lease. The zero value means no lease.
 type LeaseID uint64
 
