Send a request ID at most once on a connection to a target

Cause: the copy of a response is recognized by its request ID. A rejected request is sent to the same target again under the same ID, on the connection of the first send. The copy of the rejection arrives before the response, its ID matches, and it is taken for the verdict of the second send, which runs.

Why this works: a copy is sent on the connection of its first response, and there its ID never matches another request, whichever way the resend came about: after a rejection, a 421 or an error, with or without requests in between. What a connection remembers is bounded, 1,024 hashes; it is closed then.

TestBrokenCallsAreNotRetriedByTheTransport sent two requests with one ID on a connection, as no callers do; the second has an ID of its own now.

--- a/internal/exchanger/client.go
+++ b/internal/exchanger/client.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,9 @@
 	// to reuse its connection. A new connection takes about a millisecond.
 	maxDrainBytes = 64 << 10
 	drainTimeout  = 50 * time.Millisecond
+	// maxDistinctRequests limits the requests on a connection whose IDs are remembered,
+	// and thus their memory: 8 bytes each.
+	maxDistinctRequests = 1024
 	// writeTimeout limits how long a write may block because the peer does not
 	// read.
 	writeTimeout = 2 * time.Second
@@ -71,6 +75,10 @@
 	ReadTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections per address.
 	MaxIdle int
+	// DistinctRequests sends a request ID at most once on a connection, for peers that
+	// may send a response again, late: its copy cannot be told from the response to the
+	// same request sent again.
+	DistinctRequests bool
 }
 
 // Request is an outgoing request.
@@ -169,6 +177,9 @@
 	options Options
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// seed is that of the hashes of request IDs.
+	seed maphash.Seed
+
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	stats Stats
@@ -179,7 +190,7 @@
 	// The client detects dead peers itself; TCP keep-alive probes would come
 	// too late.
 	d := &net.Dialer{Timeout: o.DialTimeout, LocalAddr: o.Source, KeepAlive: -1}
-	return &Client{options: o, dial: t.Dialer(d), idle: make(map[string][]*conn)}
+	return &Client{options: o, dial: t.Dialer(d), seed: maphash.MakeSeed(), idle: make(map[string][]*conn)}
 }
 
 // conn is a connection with its read buffer.
@@ -190,8 +201,10 @@
 	address       string
 	reader        *bufio.Reader
 	served        int
-	idle          time.Time
-	expires       time.Time
+	// requests holds the hashes of the request IDs that were sent on the connection.
+	requests []uint64
+	idle     time.Time
+	expires  time.Time
 }
 
 // Do sends q to address and returns the response once its header has been read.
@@ -205,6 +218,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.options.DistinctRequests && q.IDHeader != "" {
+		k.requests = append(k.requests, c.hash(q))
+	}
 	x := &exchange{client: c, conn: k, request: q}
 	x.stop = context.AfterFunc(ctx, func() { _ = k.Close() })
 	r, err := x.run()
@@ -215,10 +231,15 @@
 	return r, nil
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
+// hash returns the hash of q's ID. Equal hashes of different IDs only cost a connection.
+func (c *Client) hash(q *Request) uint64 {
+	return maphash.String(c.seed, q.ID)
+}
+
+// acquire returns an idle connection that is still usable for q, or a new one.
 func (c *Client) acquire(ctx context.Context, address string, q *Request) (*conn, error) {
 	for {
-		k := c.popIdle(address)
+		k := c.popIdle(address, c.hash(q))
 		if k == nil {
 			break
 		}
@@ -267,18 +288,21 @@
 	return repeatable || u == 0 || now.Sub(k.idle) < u
 }
 
-func (c *Client) popIdle(address string) *conn {
+// popIdle returns the idle connection that was used last, without those on which the
+// request with the given hash was sent before.
+func (c *Client) popIdle(address string, request uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.idle[address]
-	if len(l) == 0 {
-		return nil
+	for i, k := range slices.Backward(l) {
+		if slices.Contains(k.requests, request) {
+			continue
+		}
+		c.idle[address] = slices.Delete(l, i, i+1)
+		c.stats.Reused++
+		return k
 	}
-	k := l[len(l)-1]
-	l[len(l)-1] = nil
-	c.idle[address] = l[:len(l)-1]
-	c.stats.Reused++
-	return k
+	return nil
 }
 
 // putIdle keeps k for reuse until the peer's keep-alive timeout.
@@ -289,7 +313,7 @@
 	_ = k.SetDeadline(time.Time{})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l := c.idle[k.address]; len(l) < c.options.MaxIdle {
+	if l := c.idle[k.address]; len(l) < c.options.MaxIdle && len(k.requests) < maxDistinctRequests {
 		c.idle[k.address] = append(l, k)
 		return
 	}
--- a/internal/forwarder/call_test.go
+++ b/internal/forwarder/call_test.go
@@ -67,7 +67,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			_, err = g.do(t.Context(), newCall(a, c.method, c.body, c.key))
+			second := newCall(a, c.method, c.body, c.key)
+			second.request = "2"
+			_, err = g.do(t.Context(), second)
 			if classifier.VerdictOf(err) != classifier.MayHaveRun || err == nil {
 				t.Errorf("got %v", err)
 			}
--- a/internal/forwarder/copies_test.go
+++ b/internal/forwarder/copies_test.go
@@ -87,3 +87,45 @@
 	b, err := io.ReadAll(a.Body)
 	return a.StatusCode, string(b), err
 }
+
+// TestLateRejectionIsNotTheVerdictOfAResend has a target reject each request once, and
+// send the rejection again before its next response on the connection. A request that is
+// sent to the target again runs, and its caller must not be told that it has not.
+func TestLateRejectionIsNotTheVerdictOfAResend(t *testing.T) {
+	const requests = 8
+	eachHop(t, "rejected once", true, func(t *testing.T, remote bool) {
+		var mu sync.Mutex
+		arrived, runs := make(map[string]int), make(map[string]int)
+		late := make(map[net.Conn]string)
+		target := rawTarget(t, func(k net.Conn, head string) {
+			id := headerOf(head, echoDialect.Request)
+			mu.Lock()
+			defer mu.Unlock()
+			_, _ = io.WriteString(k, late[k])
+			delete(late, k)
+			if arrived[id]++; arrived[id] == 1 {
+				late[k] = "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + id + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+				_, _ = io.WriteString(k, late[k])
+				return
+			}
+			runs[id]++
+			_, _ = io.WriteString(k, signed(id)+"Content-Length: 0\r\n\r\n")
+		})
+		address, _ := twoNodes(t, echoDialect, target, remote)
+		client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
+		for i := range requests {
+			id := "r" + strconv.Itoa(i)
+			status, _, err := ask(t, client, address, id, time.Second)
+			mu.Lock()
+			if err != nil || runs[id] > 1 || (status == http.StatusServiceUnavailable && runs[id] > 0) {
+				t.Errorf("request %s: status %d, %v; it arrived %d times and ran %d times", id, status, err, arrived[id], runs[id])
+			}
+			mu.Unlock()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if len(runs) == 0 {
+			t.Error("no request was sent to the target again")
+		}
+	})
+}
--- a/internal/forwarder/cut_test.go
+++ b/internal/forwarder/cut_test.go
@@ -57,7 +57,7 @@
 			var g sync.WaitGroup
 			for i := range n {
 				g.Go(func() {
-					status, body, err := ask(t, client, address, http.MethodPost, fmt.Sprintf("%02d", i), time.Second)
+					status, body, err := ask(t, client, address, fmt.Sprintf("%02d", i), time.Second)
 					if err == nil && status < http.StatusInternalServerError {
 						t.Errorf("truncated after %d bytes: status %d, body %q", i, status, body)
 					}
@@ -94,7 +94,7 @@
 			})
 			address, _ := twoNodes(t, echoDialect, target, remote)
 			client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
-			status, _, err := ask(t, client, address, http.MethodPost, "1", time.Second)
+			status, _, err := ask(t, client, address, "1", time.Second)
 			if err != nil || (status != http.StatusBadGateway && status != http.StatusGatewayTimeout) {
 				t.Errorf("status %d, %v", status, err)
 			}
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -58,7 +58,7 @@
 			address, gate := twoNodes(t, echoDialect, target, remote)
 			client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
 			begun := time.Now()
-			status, body, err := ask(t, client, address, http.MethodPost, "1", left)
+			status, body, err := ask(t, client, address, "1", left)
 			if err == nil && status < http.StatusMultipleChoices {
 				t.Errorf("got a complete answer with status %d and %d bytes", status, len(body))
 			}
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -59,6 +59,8 @@
 		IdleTimeout: targetIdleTimeout,
 		UnsafeIdle:  maxUnsafeIdle,
 		MaxIdle:     maxIdleTargetConnections,
+
+		DistinctRequests: true,
 	}
 	return &Gate{registrar: r, crashTracker: w, dialect: d, client: exchanger.New(o, t)}
 }
--- a/internal/forwarder/hops_test.go
+++ b/internal/forwarder/hops_test.go
@@ -100,11 +100,11 @@
 	return s.Listener.Addr().String(), g
 }
 
-// ask sends a request with the time left and returns the status and the body. It returns
+// ask posts a request with the time left and returns the status and the body. It returns
 // an error if the body is incomplete.
-func ask(t *testing.T, client *http.Client, address, method, id string, left time.Duration) (status int, body string, err error) {
+func ask(t *testing.T, client *http.Client, address, id string, left time.Duration) (status int, body string, err error) {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+"/x", nil)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
