Read the store on each node that hears of no relay which reaches it

Cause: only relays read the store, and nothing told the others that none was left. Polls of parents last 20 s, hints come from nodes that know more, a relay counts until gossip has found it dead, and its slot stays taken until its lease ends.

Why this works: each node knows as of when its configuration was the newest one. Relays learn it from each answer of the store and pass it down the tree; packets of membership carry it as an age, which counts for the same generation and digest only. When it is older than 0.6 of the bound the node reads the store itself, so that a change is read within 0.66 of the bound after it was accepted, whichever node on the path was lost and however: killed, paused, without power, or cut off. Ages grow by at least 20 ms a hop, so that a confirmation that is passed round in a circle grows old.

The bound is a setting now (configuration_bound, 5s; the platform's config-apply).

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -26,8 +26,15 @@
 	// own deadlines end requests in flight long before.
 	DefaultStopBound = time.Minute
 	maxStopBound     = 24 * time.Hour
-	maxLinger        = time.Minute
-	maxRetryPercent  = 100
+
+	// DefaultConfigurationBound is the time within which an accepted configuration has
+	// to be in force on every node, and MinConfigurationBound the shortest one.
+	DefaultConfigurationBound = 5 * time.Second
+	MinConfigurationBound     = 500 * time.Millisecond
+	maxConfigurationBound     = time.Hour
+
+	maxLinger       = time.Minute
+	maxRetryPercent = 100
 )
 
 // Defaults returns settings in which every field that has a default is set.
@@ -36,6 +43,7 @@
 		RelaysPerDataCenter: defaultRelays,
 		FanOut:              defaultFanOut,
 		StopBound:           DefaultStopBound,
+		ConfigurationBound:  DefaultConfigurationBound,
 		AnnouncementTTL:     registrar.DefaultTTL,
 	}
 }
@@ -87,6 +95,9 @@
 	// the node still accepts requests after the stop has begun.
 	StopBound time.Duration
 	Linger    time.Duration
+	// ConfigurationBound is the time within which an accepted configuration has to be in
+	// force. It determines how long a node relies on relays of which it hears nothing.
+	ConfigurationBound time.Duration
 	// LinkMbps is the bandwidth of the VM's network link, in megabits per second;
 	// zero if unknown.
 	LinkMbps float64
@@ -134,6 +145,9 @@
 		s.StopBound = o.Duration(n, DefaultStopBound, time.Second, maxStopBound)
 	}},
 	{"linger", func(o *parser.Object, n string, s *Settings) { s.Linger = o.Duration(n, 0, 0, maxLinger) }},
+	{"configuration_bound", func(o *parser.Object, n string, s *Settings) {
+		s.ConfigurationBound = o.Duration(n, DefaultConfigurationBound, MinConfigurationBound, maxConfigurationBound)
+	}},
 	{"announcement_ttl", func(o *parser.Object, n string, s *Settings) {
 		s.AnnouncementTTL = o.Duration(n, registrar.DefaultTTL, time.Second, time.Hour)
 	}},
--- a/internal/gossiper/core.go
+++ b/internal/gossiper/core.go
@@ -107,9 +107,10 @@
 	firstIncarnation uint64
 	previous         Member
 
-	held        Hint
-	newest      Hint
-	differences differences
+	held         Hint
+	newest       Hint
+	confirmation confirmation
+	differences  differences
 }
 
 // NewCore returns the core of the node with the record self.
@@ -150,9 +151,12 @@
 	c.queue.put(c.self)
 }
 
-// SetConfiguration sets the configuration that this node advertises as its own.
+// SetConfiguration sets the configuration that this node advertises as its own, unless
+// it advertises a newer one.
 func (c *Core) SetConfiguration(generation uint64, digest [32]byte) {
-	c.held = Hint{Generation: generation, StateDigest: digest}
+	if generation >= c.held.Generation {
+		c.held = Hint{Generation: generation, StateDigest: digest}
+	}
 }
 
 // AddStrike adds a strike to the quarantine and gossips it if it is new.
@@ -196,8 +200,8 @@
 
 // PingAddress returns a ping with this node's record for an address that may
 // belong to a member.
-func (c *Core) PingAddress(address string) Outgoing {
-	p := c.packet(Ping)
+func (c *Core) PingAddress(address string, now time.Time) Outgoing {
+	p := c.packet(Ping, now)
 	p.Members = append(p.Members, c.self)
 	return Outgoing{Address: address, Packet: p}
 }
@@ -278,7 +282,7 @@
 		c.probes[n] = p
 		m, _ := c.table.get(p.node)
 		for _, h := range c.pick(indirectProbes, p.node) {
-			q := c.packet(PingRequest)
+			q := c.packet(PingRequest, now)
 			q.Number = n
 			q.Subject = m.PeerAddress
 			o = append(o, c.withUpdates(h, q))
@@ -331,7 +335,7 @@
 		return o
 	}
 	if m, ok := c.pickDead(); ok {
-		q := c.PingAddress(m.PeerAddress)
+		q := c.PingAddress(m.PeerAddress, now)
 		q.Packet.Tombstones = append(q.Packet.Tombstones, tombstone(m))
 		o = append(o, q)
 	}
@@ -339,7 +343,7 @@
 }
 
 func (c *Core) ping(m Member, now time.Time) Outgoing {
-	p := c.packet(Ping)
+	p := c.packet(Ping, now)
 	c.probes[p.Number] = probe{node: m.Node, sent: now}
 	return c.withUpdates(m, p)
 }
@@ -410,7 +414,7 @@
 		if !c.rumorBudget.Take(now) {
 			break
 		}
-		q := c.withUpdates(m, c.packet(Rumor))
+		q := c.withUpdates(m, c.packet(Rumor, now))
 		c.rumorBudget.Spend(float64(q.Packet.size()))
 		o = append(o, q)
 	}
@@ -419,33 +423,34 @@
 
 // hints returns rumors without updates, whose headers advertise this node's
 // configuration.
-func (c *Core) hints() []Outgoing {
+func (c *Core) hints(now time.Time) []Outgoing {
 	var o []Outgoing
 	for _, m := range c.pick(hintFanOut, "") {
-		o = append(o, Outgoing{Address: m.PeerAddress, Packet: c.packet(Rumor)})
+		o = append(o, Outgoing{Address: m.PeerAddress, Packet: c.packet(Rumor, now)})
 	}
 	return o
 }
 
 // announcements returns rumors with this node's own record.
-func (c *Core) announcements() []Outgoing {
+func (c *Core) announcements(now time.Time) []Outgoing {
 	var o []Outgoing
 	for _, m := range c.pick(announceFanOut, "") {
-		p := c.packet(Rumor)
+		p := c.packet(Rumor, now)
 		p.Members = []Member{c.self}
 		o = append(o, Outgoing{Address: m.PeerAddress, Packet: p})
 	}
 	return o
 }
 
-func (c *Core) packet(k Kind) Packet {
+func (c *Core) packet(k Kind, now time.Time) Packet {
 	c.number++
 	p := Packet{
-		Kind:        k,
-		Number:      c.number,
-		From:        c.self.Node,
-		Generation:  c.held.Generation,
-		TableDigest: c.table.digest(),
+		Kind:         k,
+		Number:       c.number,
+		From:         c.self.Node,
+		Generation:   c.held.Generation,
+		ConfirmedAge: c.confirmation.age(now),
+		TableDigest:  c.table.digest(),
 	}
 	if c.held.Generation > 0 {
 		p.StateDigest = slices.Clone(c.held.StateDigest[:hintDigestBytes])
--- a/internal/gossiper/core_test.go
+++ b/internal/gossiper/core_test.go
@@ -34,7 +34,7 @@
 			to = fmt.Sprintf("n%d", n-1)
 		}
 		if a != to {
-			f.send(a, []Outgoing{f.cores[a].PingAddress(to)})
+			f.send(a, []Outgoing{f.cores[a].PingAddress(to, f.now)})
 		}
 	}
 	return f
@@ -133,7 +133,7 @@
 			f := newSplitNetwork(c.size, c.island)
 			f.run(3 * time.Second)
 			last := fmt.Sprintf("n%d", c.size-1)
-			f.send("n0", []Outgoing{f.cores["n0"].PingAddress(last)})
+			f.send("n0", []Outgoing{f.cores["n0"].PingAddress(last, f.now)})
 			f.run(recoveryLimit)
 			for i := range c.size {
 				a := fmt.Sprintf("n%d", i)
@@ -208,7 +208,7 @@
 
 func FuzzDecodePacket(f *testing.F) {
 	c := newNetwork(2).cores["n1"]
-	b, err := EncodePacket(c.PingAddress("n0").Packet)
+	b, err := EncodePacket(c.PingAddress("n0", time.Unix(1_800_000_000, 0)).Packet)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -101,7 +101,7 @@
 // announce sends the node's own record to members at once.
 func (g *Gossiper) announce() {
 	g.mu.Lock()
-	o := g.core.announcements()
+	o := g.core.announcements(time.Now())
 	g.mu.Unlock()
 	g.send(o)
 }
@@ -117,11 +117,40 @@
 // of them does the same once it has applied it.
 func (g *Gossiper) AdvertiseConfiguration() {
 	g.mu.Lock()
-	o := g.core.hints()
+	o := g.core.hints(time.Now())
 	g.mu.Unlock()
 	g.send(o)
 }
 
+// PassConfirmations passes confirmations on to the nodes that children returns, and
+// omits those that are less than spacing newer than the one before.
+func (g *Gossiper) PassConfirmations(children func() []string, spacing time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.confirmation.children, g.core.confirmation.spacing = children, spacing
+}
+
+// Confirm records that the configuration that this node holds was the newest one in the
+// store at the given time.
+func (g *Gossiper) Confirm(generation uint64, digest [32]byte, at time.Time) {
+	g.mu.Lock()
+	g.core.SetConfiguration(generation, digest)
+	var o []Outgoing
+	if generation == g.core.held.Generation {
+		o = g.core.Confirm(at, time.Now())
+	}
+	g.mu.Unlock()
+	g.send(o)
+}
+
+// ConfirmedAt returns the last time at which this node's configuration is known to have
+// been the newest one in the store.
+func (g *Gossiper) ConfirmedAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.confirmation.at
+}
+
 // HomeSince returns the time since which other members consider this node a home
 // for a service's keys. If the process was just paused, this is now, even before
 // the next tick detects the stall.
@@ -171,7 +200,7 @@
 		if e.Node == g.core.self.Node {
 			continue
 		}
-		p := g.core.packet(Rumor)
+		p := g.core.packet(Rumor, time.Now())
 		p.Strikes = []quarantiner.Strike{s}
 		l = append(l, Outgoing{Address: e.PeerAddress, Packet: p})
 	}
@@ -181,7 +210,7 @@
 // PingAddress pings an address that may belong to a member.
 func (g *Gossiper) PingAddress(address string) {
 	g.mu.Lock()
-	o := g.core.PingAddress(address)
+	o := g.core.PingAddress(address, time.Now())
 	g.mu.Unlock()
 	g.send([]Outgoing{o})
 }
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -33,6 +35,9 @@
 	// Generation and StateDigest identify the sender's configuration.
 	Generation  uint64
 	StateDigest []byte
+	// ConfirmedAge is how long ago the sender's configuration was the newest one in the
+	// store; zero means unknown.
+	ConfirmedAge time.Duration
 	// TableDigest identifies the sender's whole table.
 	TableDigest uint64
 	Members     []Member
@@ -51,6 +56,8 @@
 		StateDigest: p.StateDigest,
 		TableDigest: p.TableDigest,
 		Members:     WriteMembers(p.Members),
+
+		ConfirmedAgeMs: writeAge(p.ConfirmedAge),
 	}
 	for _, t := range p.Tombstones {
 		w.Tombstones = append(w.Tombstones, writeTombstone(t))
@@ -89,6 +96,8 @@
 		TableDigest: w.GetTableDigest(),
 		Members:     ReadMembers(w.GetMembers()),
 		Tombstones:  readTombstones(w.GetTombstones()),
+
+		ConfirmedAge: time.Duration(w.GetConfirmedAgeMs()) * time.Millisecond,
 	}
 	for _, s := range w.GetStrikes() {
 		p.Strikes = append(p.Strikes, quarantiner.Strike{
@@ -101,6 +110,11 @@
 	return p, nil
 }
 
+// writeAge rounds up, so that an age is never understated and 0 means unknown.
+func writeAge(d time.Duration) uint32 {
+	return uint32(min((d+time.Millisecond-1)/time.Millisecond, math.MaxUint32))
+}
+
 func writeTombstone(t Tombstone) *messenger.Tombstone {
 	return &messenger.Tombstone{NodeHash: t.NodeHash, Incarnation: t.Incarnation, Condition: uint32(t.Condition)}
 }
--- a/internal/gossiper/receive.go
+++ b/internal/gossiper/receive.go
@@ -18,16 +18,17 @@
 	if _, ok := c.table.get(p.From); ok && !known {
 		c.differences.noteNewMember(p.From)
 	}
+	o := c.confirmBy(p, now)
 	switch p.Kind {
 	case Ping:
-		return []Outgoing{c.acknowledge(address, p)}
+		o = append(o, c.acknowledge(address, p, now))
 	case PingRequest:
-		return c.forwardPing(address, p, now)
+		o = append(o, c.forwardPing(address, p, now)...)
 	case Ack:
-		return c.handleAck(p, now)
+		o = append(o, c.handleAck(p, now)...)
 	case Rumor:
 	}
-	return nil
+	return o
 }
 
 // recordSender records the configuration and the table digest of the sender.
@@ -47,8 +48,8 @@
 
 // acknowledge returns the ack for a ping. A sender that is unknown, suspect or
 // dead here also gets this node's record, and its own condition to refute.
-func (c *Core) acknowledge(address string, p Packet) Outgoing {
-	a := c.packet(Ack)
+func (c *Core) acknowledge(address string, p Packet, now time.Time) Outgoing {
+	a := c.packet(Ack, now)
 	a.Number = p.Number
 	m, ok := c.table.get(p.From)
 	if !ok || m.Condition != Alive {
@@ -62,7 +63,7 @@
 }
 
 func (c *Core) forwardPing(address string, p Packet, now time.Time) []Outgoing {
-	q := c.packet(Ping)
+	q := c.packet(Ping, now)
 	c.forwardedPings[q.Number] = forwardedPing{address: address, number: p.Number, sent: now}
 	return []Outgoing{{Address: p.Subject, Packet: q}}
 }
@@ -70,7 +71,7 @@
 func (c *Core) handleAck(p Packet, now time.Time) []Outgoing {
 	if e, ok := c.forwardedPings[p.Number]; ok {
 		delete(c.forwardedPings, p.Number)
-		a := c.packet(Ack)
+		a := c.packet(Ack, now)
 		a.Number = e.number
 		return []Outgoing{{Address: e.address, Packet: a}}
 	}
--- a/internal/gossiper/scale_test.go
+++ b/internal/gossiper/scale_test.go
@@ -183,7 +183,7 @@
 	peer := s.cores[s.order[0]]
 	for i, a := range back {
 		s.add(Member{Node: a, PeerAddress: a, DataCenter: "dc0", Incarnation: 1_000}, peer.table.members(), uint64(n+i))
-		s.deliver(a, []Outgoing{s.cores[a].PingAddress(s.order[i%len(s.order)])})
+		s.deliver(a, []Outgoing{s.cores[a].PingAddress(s.order[i%len(s.order)], s.now)})
 	}
 	start, packets, bytes = s.now, s.packets, s.bytes
 	l = s.until(lossLimit, func(c *Core) bool {
--- a/internal/gossiper/wake_test.go
+++ b/internal/gossiper/wake_test.go
@@ -59,7 +59,7 @@
 			t.Errorf("%d ticks in %d idle seconds", ticks, seconds)
 		}
 		peer := NewCore(Member{Node: "peer", PeerAddress: "127.0.0.1:2", Incarnation: 1}, g.core.rand, time.Now())
-		g.handle("127.0.0.1:2", peer.PingAddress("127.0.0.1:1").Packet)
+		g.handle("127.0.0.1:2", peer.PingAddress("127.0.0.1:1", time.Now()).Packet)
 		time.Sleep(tickPeriod)
 		synctest.Wait()
 		if n := g.View().Usable(); n != 2 {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -40,6 +40,12 @@
 	// nodes that restart together do not all read the store at once.
 	bootstrapBackoff = 100 * time.Millisecond
 	maxBackoff       = 5 * time.Second
+	// DefaultConfirmWithin is how long a configuration that no other node has confirmed
+	// is used before the node reads the store itself.
+	DefaultConfirmWithin = 3 * time.Second
+	// confirmationsPerPeriod is how often relays confirm the configuration in the time
+	// after which other nodes read the store. Some confirmations may be lost.
+	confirmationsPerPeriod = 2.5
 	// firstStartWait is how long nodes of a mesh that starts for the first time
 	// leave reading the store to the relays. All nodes have joined by then.
 	firstStartWait = 6 * time.Second
@@ -64,6 +70,8 @@
 	// Stopping, if set, reports whether the node is about to stop. Such a node
 	// acquires no slot.
 	Stopping func() bool
+	// ConfirmWithin replaces DefaultConfirmWithin if it is not zero.
+	ConfirmWithin time.Duration
 
 	// lease and slot are held by this node while it is a relay.
 	lease     storer.LeaseID
@@ -97,6 +105,7 @@
 // Start runs the relayer in group until ctx is done.
 func (r *Relayer) Start(ctx context.Context, group *grouper.Group) {
 	group.Loop(ctx, r.runElections)
+	group.Loop(ctx, r.keepConfirmed)
 }
 
 // Bootstrap reads the configuration from the store until the node has one from
@@ -113,6 +122,7 @@
 		if r.holder.Current() != nil {
 			return
 		}
+		begun := time.Now()
 		v, err := r.store.Get(ctx, r.key())
 		if classifier.Is(err, classifier.NotFound) {
 			// The first configuration has not been written yet. Relays will deliver it,
@@ -127,7 +137,9 @@
 		}
 		if err != nil {
 			klog.V(1).InfoS("Reading the configuration failed", "key", r.key(), "cause", err)
+			continue
 		}
+		r.confirm(begun)
 	}
 }
 
@@ -310,17 +322,20 @@
 
 // renew keeps the lease alive and returns once it has expired. While the store
 // does not answer, the node stays a relay, because its children still need a
-// root.
+// root. An answer confirms the configuration.
 func (r *Relayer) renew(ctx context.Context) {
 	ctx = storer.WithPurpose(ctx, storer.ForLease)
-	for sleeper.Sleep(ctx, renewPeriod) {
+	for sleeper.Sleep(ctx, min(renewPeriod, time.Duration(float64(r.confirmWithin())/confirmationsPerPeriod))) {
+		begun := time.Now()
 		err := r.store.KeepAlive(ctx, r.lease)
-		if classifier.Is(err, classifier.NotFound) {
+		switch {
+		case classifier.Is(err, classifier.NotFound):
 			klog.Warning(logPrefix + "The lease has expired.")
 			return
-		}
-		if err != nil {
+		case err != nil:
 			klog.V(1).InfoS("Renewing the lease failed", "slot", r.slot, "cause", err)
+		case r.Connected():
+			r.confirm(begun)
 		}
 	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -33,6 +33,9 @@
 			known = false
 			continue
 		}
+		if !known {
+			r.confirm(begun)
+		}
 		b.Reset()
 		held, known = v, true
 		if !changed && time.Since(begun) < initialBackoff {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -39,6 +39,12 @@
 	// firstElection is how long a node that joined a mesh which starts for the first
 	// time leaves the relays' slots to others: some rounds of gossip.
 	firstElection = 3 * time.Second
+	// confirmShare is the part of the bound for configurations after which a node that
+	// nobody has confirmed its own to reads the store. The rest is for the read.
+	confirmShare = 0.6
+	// passShare is the part of that time by which a confirmation must be newer than the
+	// one before to be passed on. It is below the interval at which relays confirm.
+	passShare = 1.0 / 3
 )
 
 // Node is one process of the mesh.
@@ -163,6 +169,9 @@
 func (n *Node) buildDistribution(store storer.Store) {
 	n.relayer = relayer.New(store, &n.holder, n.gossiper, n.settings.RelaysPerDataCenter, n.around.Document)
 	n.relayer.FirstStart = n.settings.FirstStart
+	n.relayer.ConfirmWithin = time.Duration(confirmShare * float64(n.settings.ConfigurationBound))
+	n.gossiper.PassConfirmations(func() []string { return n.tallier.ChildNodes(time.Now()) },
+		time.Duration(passShare*float64(n.relayer.ConfirmWithin)))
 	n.relayer.Stopping = func() bool { return n.entry.Draining() }
 }
 
--- a/internal/storer/counter.go
+++ b/internal/storer/counter.go
@@ -22,6 +22,9 @@
 	ForLease Purpose = "lease"
 	// ForWatch marks calls that watch the configuration.
 	ForWatch Purpose = "watch"
+	// ForConfirmation marks calls that read the configuration because no other node
+	// has confirmed it.
+	ForConfirmation Purpose = "confirmation"
 	// ForIntroduction marks calls that find the relays of other data centres.
 	ForIntroduction Purpose = "introduction"
 	// ForOther marks all other calls, and those whose context has no purpose.
--- a/internal/syncer/tally.go
+++ b/internal/syncer/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -99,6 +100,14 @@
 	return len(t.children)
 }
 
+// ChildNodes returns the names of the children that are polling or have recently polled.
+func (t *ReportAggregator) ChildNodes(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	return slices.Collect(maps.Keys(t.children))
+}
+
 // Sum returns the report of this node's subtree; the node itself holds generation.
 func (t *ReportAggregator) Sum(generation uint64, now time.Time) Report {
 	t.mu.Lock()
