Take a watch for broken when the renewal of the lease gets no answer

Cause: a relay noticed a silent watch only when it had lasted its 3 s and another second.

Without the interruption of the watch, in a scratch copy, TestRelaysLeaveSilentWatches finds the old generation in force after the bound.

Why this works: the renewal is made five times in two seconds of the bound, on a connection that has gone silent with the watch.

--- a/internal/relayer/confirm_test.go
+++ b/internal/relayer/confirm_test.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// silence makes all open connections silent.
+func (s *documentStore) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silences++
+}
+
 func (s *documentStore) value() storer.Value {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -232,3 +239,28 @@
 		stop()
 	})
 }
+
+// TestRelaysLeaveSilentWatches guards against configurations that come late because the
+// connections to the store have gone silent: the lease's renewal tells it before the watch
+// does.
+func TestRelaysLeaveSilentWatches(t *testing.T) {
+	for k := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			s := &documentStore{}
+			r, h, _ := newTestRelayer(t, s)
+			r.setRelay(true)
+			stop := runLoops(t, r.watch, r.renew)
+			time.Sleep(5*time.Second + time.Duration(k)*150*time.Millisecond)
+			if !r.Connected() {
+				t.Error("the relay does not watch the store")
+			}
+			s.silence()
+			s.set(2)
+			time.Sleep(testBound)
+			if g := h.Current().Generation(); g != 2 {
+				t.Errorf("generation %d is in force %s after generation 2 was accepted", g, testBound)
+			}
+			stop()
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -77,6 +77,10 @@
 	lease     storer.LeaseID
 	slot      string
 	connected atomic.Bool
+	// watching is the call that waits for a change, and pausing the pause after a
+	// failed one.
+	watching interruptible
+	pausing  interruptible
 }
 
 // Document is a complete configuration that is stored under one key and managed
@@ -322,20 +326,24 @@
 
 // renew keeps the lease alive and returns once it has expired. While the store
 // does not answer, the node stays a relay, because its children still need a
-// root. An answer confirms the configuration.
+// root. An answer confirms the configuration; without one the watch is assumed to be
+// broken as well.
 func (r *Relayer) renew(ctx context.Context) {
 	ctx = storer.WithPurpose(ctx, storer.ForLease)
 	for sleeper.Sleep(ctx, min(renewPeriod, time.Duration(float64(r.confirmWithin())/confirmationsPerPeriod))) {
 		begun := time.Now()
-		err := r.store.KeepAlive(ctx, r.lease)
+		err := r.keepAlive(ctx)
 		switch {
 		case classifier.Is(err, classifier.NotFound):
 			klog.Warning(logPrefix + "The lease has expired.")
 			return
 		case err != nil:
 			klog.V(1).InfoS("Renewing the lease failed", "slot", r.slot, "cause", err)
+			r.watching.interrupt()
 		case r.Connected():
 			r.confirm(begun)
+		default:
+			r.pausing.interrupt()
 		}
 	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
@@ -345,6 +353,12 @@
 	}
 }
 
+func (r *Relayer) keepAlive(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.confirmWithin()/2)
+	defer cancel()
+	return r.store.KeepAlive(ctx, r.lease)
+}
+
 // listPeers periodically lists the relays of all data centres, so that parts of
 // the mesh that were partitioned find each other again. It returns once the store
 // no longer has this relay's slot, for example after a rollback to older data.
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -22,14 +22,11 @@
 	b := sleeper.Backoff{First: initialBackoff, Max: maxBackoff}
 	for ctx.Err() == nil {
 		begun := time.Now()
-		v, changed, err := r.next(ctx, held, known)
-		if err == nil && changed {
-			err = r.apply(ctx, v)
-		}
+		v, changed, err := r.step(ctx, held, known)
 		r.setConnected(err)
 		if err != nil {
 			klog.V(1).InfoS("Watching the store failed", "key", r.key(), "cause", err)
-			b.Sleep(ctx)
+			r.pausing.run(ctx, func(ctx context.Context) { b.Sleep(ctx) })
 			known = false
 			continue
 		}
@@ -45,6 +42,17 @@
 	}
 }
 
+// step makes one call to the store and applies what has changed.
+func (r *Relayer) step(ctx context.Context, held storer.Value, known bool) (v storer.Value, changed bool, err error) {
+	r.watching.run(ctx, func(ctx context.Context) {
+		v, changed, err = r.next(ctx, held, known)
+		if err == nil && changed {
+			err = r.apply(ctx, v)
+		}
+	})
+	return v, changed, err
+}
+
 // setConnected records whether the store is reachable and logs each change.
 func (r *Relayer) setConnected(err error) {
 	if r.connected.Swap(err == nil) == (err == nil) {
