Never send a body again whose rest was passed on

Cause: the entry keeps 64 KiB of a body and streams the rest. A gate on another node refuses a request after all of it was written, and the request was offered to the next gate with the kept part, whose reader ended as if it were the whole body. Retries asked whether the body can be sent again; offers did not.

Why this works: only the reader that has begun with the rest gets it, and any other one fails instead of ending, whichever path sends the request: offers, retries, homes of keys, and the gate's second try. Offers end with the verdict of the gate that refused, so that the caller learns that its request has not run.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -49,7 +49,7 @@
 	var failure *answer
 	for {
 		a, err := e.offer(j)
-		if j.retryGranted && notSent(err) && classifier.Is(err, classifier.Overloaded) && e.waitToReoffer(j) {
+		if j.retryGranted && notSent(err) && classifier.Is(err, classifier.Overloaded) && j.body.replayable() && e.waitToReoffer(j) {
 			continue
 		}
 		if err == nil && (a.status < http.StatusInternalServerError || !j.repeatable()) {
@@ -121,7 +121,8 @@
 }
 
 // offer asks one gate after another to accept the request: first those that seem to
-// have a free slot, without queueing, then for a place in a queue.
+// have a free slot, without queueing, then for a place in a queue. It asks no other one
+// once the rest of a body that is not kept has been passed on.
 func (e *Entry) offer(j *job) (*answer, error) {
 	var refusal error
 	eager, queued := 0, 0
@@ -140,7 +141,7 @@
 			return a, err
 		}
 		refusal = shorterWait(refusal, err)
-		if j.ctx.Err() != nil || !time.Now().Before(j.deadline.Add(-answerHopTime)) {
+		if j.ctx.Err() != nil || !j.body.replayable() || !time.Now().Before(j.deadline.Add(-answerHopTime)) {
 			break
 		}
 		if immediate {
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -10,12 +11,17 @@
 // replayBytes is the size up to which a request's body is kept for retries.
 const replayBytes = 64 << 10
 
+// errBodyConsumed reports that the streamed rest of a body was already read for an
+// earlier attempt.
+var errBodyConsumed = errors.New("the body was already passed on and is not kept")
+
 // body is a request's body: kept in memory, or with a rest that is streamed.
 type body struct {
 	kept   []byte
 	rest   io.Reader
 	length int64
-	used   bool
+	// restReader is the reader that has begun to read the rest, which no other may.
+	restReader *restReader
 }
 
 // readBody reads up to replayBytes of the body of r, until deadline, and leaves the
@@ -41,17 +47,50 @@
 	return &body{kept: k, rest: s, length: r.ContentLength}, nil
 }
 
-// reader returns a reader of the whole body.
+// streamedBody returns the body of r, of which nothing is kept.
+func streamedBody(r *http.Request) *body {
+	if r.ContentLength == 0 {
+		return &body{}
+	}
+	return &body{rest: r.Body, length: r.ContentLength}
+}
+
+// reader returns a reader of the whole body. If the rest was read through another one it
+// fails after the kept part, so that a peer never takes that part for the whole body.
 func (b *body) reader() io.Reader {
+	if b == nil {
+		return http.NoBody
+	}
 	if b.rest == nil {
 		return bytes.NewReader(b.kept)
 	}
-	b.used = true
-	return io.MultiReader(bytes.NewReader(b.kept), b.rest)
+	return io.MultiReader(bytes.NewReader(b.kept), &restReader{body: b})
+}
+
+// size returns the length of the body, -1 if it is sent in chunks.
+func (b *body) size() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.length
 }
 
-// replayable reports whether reader can be called again: the body is kept whole or
+// replayable reports whether the body can be sent again: it is kept whole, or its rest
 // was not read yet.
 func (b *body) replayable() bool {
-	return b.rest == nil || !b.used
+	return b.rest == nil || b.restReader == nil
+}
+
+// restReader reads the rest of a body.
+type restReader struct{ body *body }
+
+// Read implements io.Reader.
+func (r *restReader) Read(p []byte) (int, error) {
+	if r.body.restReader == nil {
+		r.body.restReader = r
+	}
+	if r.body.restReader != r {
+		return 0, errBodyConsumed
+	}
+	return r.body.rest.Read(p)
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -22,8 +21,7 @@
 	host     string
 	uri      string
 	header   http.Header
-	body     io.Reader
-	length   int64
+	body     *body
 	request  string
 	deadline time.Time
 	// mark is the time at which deadline was set.
@@ -67,7 +65,8 @@
 	return time.Time{}
 }
 
-// exchange returns the request to send for c. The answer has to repeat the request's
+// exchange returns a request to send for c, with a reader of its own for the body. The
+// answer has to repeat the request's
 // identifier in idHeader, unless idHeader is empty.
 func (c call) exchange(idHeader string) *exchanger.Request {
 	return &exchanger.Request{
@@ -75,8 +74,8 @@
 		URI:        c.uri,
 		Host:       c.host,
 		Header:     c.header,
-		Body:       c.body,
-		Length:     c.length,
+		Body:       c.body.reader(),
+		Length:     c.body.size(),
 		IDHeader:   idHeader,
 		ID:         c.request,
 		Repeatable: c.repeatable,
--- a/internal/forwarder/call_test.go
+++ b/internal/forwarder/call_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,15 +26,15 @@
 func (noCrashes) Blocked(quarantiner.Fingerprint) bool   { return false }
 func (noCrashes) Suspected(quarantiner.Fingerprint) bool { return false }
 func (noCrashes) Strike(string, quarantiner.Strike)      {}
-func newCall(target, method, body string, key bool) call {
+func newCall(target, method, content string, key bool) call {
 	h := http.Header{}
 	if key {
 		h.Set("Idempotency-Key", "k")
 	}
 	return call{
 		hop:    hop{purpose: toGate, service: "s", target: target, repeatable: method == http.MethodGet},
-		method: method, host: "x", uri: "/x", header: h, body: strings.NewReader(body),
-		length: int64(len(body)), request: "1", deadline: time.Now().Add(2 * time.Second),
+		method: method, host: "x", uri: "/x", header: h, body: &body{kept: []byte(content), length: int64(len(content))},
+		request: "1", deadline: time.Now().Add(2 * time.Second),
 	}
 }
 
