Record departures of targets in the store

Cause: departures were kept in memory, by the node and by others through its gossiped record. A kill of all processes left nobody who knew, and a late report does not say that it is late.

Why this works: what must last lies in the store. A departure is confirmed once the store has it, or after 600 ms without an answer, since targets wait for a second; the node keeps trying then. A node that starts reads its record, and takes reports of the processes in it for stale; one that started later is used.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -293,11 +293,11 @@
 	r.notify()
 }
 
-// RecordDeparture permanently stops new requests to one process of a target. It reports
-// whether that process was known.
-func (r *Registrar) RecordDeparture(instance string, now time.Time) bool {
+// RecordDeparture permanently stops new requests to one process of a target, and returns
+// its record. It returns false if that process is not known.
+func (r *Registrar) RecordDeparture(instance string, now time.Time) (gossiper.Target, bool) {
 	if !ValidInstance(instance) {
-		return false
+		return gossiper.Target{}, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -313,10 +313,21 @@
 			t.Draining = true
 			r.notify()
 		}
-		return true
+		return record(a), true
 	}
 	r.storeDeparture(gossiper.Target{Instance: instance}, now)
-	return false
+	return gossiper.Target{}, false
+}
+
+// Leaving returns the record of the target at address if that process is leaving.
+func (r *Registrar) Leaving(address, instance string) (gossiper.Target, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.targets[address]
+	if !ok || t.Instance != instance || !t.Draining {
+		return gossiper.Target{}, false
+	}
+	return record(t.Announcement), true
 }
 
 // RestoreDepartures applies the targets that an earlier process of this node had gossiped, as
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -58,8 +58,10 @@
 			for _, a := range c.before {
 				r.Announce(a, router.Limits{Slots: 4}, start)
 			}
-			if c.depart != "" && !r.RecordDeparture(c.depart, start) {
-				t.Fatal("the departed process was not known")
+			if c.depart != "" {
+				if _, ok := r.RecordDeparture(c.depart, start); !ok {
+					t.Fatal("the departed process was not known")
+				}
 			}
 			if g := r.Announce(c.next, router.Limits{Slots: 4}, start); g != c.want {
 				t.Errorf("got %s, want %s", g, c.want)
@@ -106,7 +108,7 @@
 		if o := r.Announce(probed(odd), router.Limits{Slots: 4}, start); o != Invalid {
 			t.Errorf("%q: announcement from a probe was %s", name, o)
 		}
-		if r.RecordDeparture(name, start) || len(r.departed) != 0 {
+		if _, ok := r.RecordDeparture(name, start); ok || len(r.departed) != 0 {
 			t.Errorf("%q: departure was recorded", name)
 		}
 		r.RestoreDepartures([]gossiper.Target{{Service: "s", Address: address, Instance: name, Draining: true, StartedAtUnixMS: 9}}, start)
--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -17,7 +17,7 @@
 	var gossiped []gossiper.Target
 	earlier := Registrar{Changed: func(l []gossiper.Target) { gossiped = l }}
 	earlier.Announce(announcement("a", 5, 3), router.Limits{Slots: 4}, start)
-	if !earlier.RecordDeparture("a", start) {
+	if _, ok := earlier.RecordDeparture("a", start); !ok {
 		t.Fatal("the target is not known")
 	}
 	tests := []struct {
--- a/internal/runner/local.go
+++ b/internal/runner/local.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
@@ -24,6 +25,8 @@
 	defaultConnections   = 110
 	defaultQueue         = 24
 	defaultBodyBytes     = 1 << 20
+	// departureWait is below the time within which targets expect an answer.
+	departureWait = 600 * time.Millisecond
 )
 
 // announcement is what a target says of itself, with the profile that it wants.
@@ -107,13 +110,40 @@
 		// Only this address can be reached from here.
 		a.Address = t
 	}
-	return n.take(a)
+	if err := n.take(a); err != nil {
+		return err
+	}
+	if t, ok := n.registrar.Leaving(a.Address, a.Instance); ok {
+		n.record(t)
+	}
+	return nil
 }
 
 // Depart closes the gate of a target that leaves.
 func (n *Node) Depart(instance string) {
-	known := n.registrar.RecordDeparture(instance, time.Now())
+	t, known := n.registrar.RecordDeparture(instance, time.Now())
 	klog.InfoS("Target leaves", "instance", instance, "known", known)
+	if known {
+		n.record(t)
+	}
+}
+
+// record waits until the store has the departure of a target, so that no node uses the
+// target again after this node has confirmed that it leaves.
+func (n *Node) record(t gossiper.Target) {
+	ctx, cancel := context.WithTimeout(n.stopping, departureWait)
+	defer cancel()
+	if !n.recorder.Record(ctx, t) {
+		klog.InfoS("Departure is not recorded yet", "target", t.Address, "service", t.Service, "instance", t.Instance)
+	}
+}
+
+// restoreDepartures keeps targets out of use that left an earlier process of this node.
+func (n *Node) restoreDepartures(l []gossiper.Target) {
+	n.registrar.RestoreDepartures(l, time.Now())
+	for _, t := range l {
+		klog.InfoS("Target of an earlier life of the node", "target", t.Address, "service", t.Service, "instance", t.Instance, "leaving", t.Draining)
+	}
 }
 
 // Ready reports whether callers may be sent to this node: it has a
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/joiner"
 	"github.com/dragonflydoor/dragonflydoor/internal/logger"
 	"github.com/dragonflydoor/dragonflydoor/internal/meter"
+	"github.com/dragonflydoor/dragonflydoor/internal/recorder"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 	"github.com/dragonflydoor/dragonflydoor/internal/relayer"
 	"github.com/dragonflydoor/dragonflydoor/internal/sleeper"
@@ -75,6 +76,7 @@
 	relayer    *relayer.Relayer
 	gate       *forwarder.Gate
 	entry      *forwarder.Entry
+	recorder   *recorder.Recorder
 	peers      *exchanger.Client
 	scraped    http.Handler
 
@@ -116,6 +118,8 @@
 	n.stopping, n.stop = context.WithCancel(context.Background())
 	n.buildMembership(store)
 	n.buildDistribution(store)
+	n.recorder = recorder.New(store, s.Node)
+	n.recorder.Restored = n.restoreDepartures
 	n.buildCalls()
 	return n, nil
 }
@@ -258,6 +262,9 @@
 	n.group.Loop(n.stopping, n.identify)
 	n.group.Loop(n.stopping, n.limitTargets)
 	n.group.Loop(n.stopping, n.entry.Watch)
+	if n.around.Dialect.Instance != "" {
+		n.group.Loop(n.stopping, n.recorder.Run)
+	}
 }
 
 // join enters the mesh before the node competes for a relay's slot, so that it
@@ -285,10 +292,7 @@
 	if len(f) == 0 {
 		return
 	}
-	n.registrar.RestoreDepartures(f, time.Now())
-	for _, t := range f {
-		klog.InfoS("Target of an earlier life of the node", "target", t.Address, "service", t.Service, "instance", t.Instance, "leaving", t.Draining)
-	}
+	n.restoreDepartures(f)
 }
 
 // expire removes targets that stopped announcing themselves.
--- a/internal/storer/counter.go
+++ b/internal/storer/counter.go
@@ -25,6 +25,8 @@
 	// ForConfirmation marks calls that read the configuration because no other node
 	// has confirmed it.
 	ForConfirmation Purpose = "confirmation"
+	// ForDepartures marks calls that keep the record of departed targets.
+	ForDepartures Purpose = "departures"
 	// ForIntroduction marks calls that find the relays of other data centres.
 	ForIntroduction Purpose = "introduction"
 	// ForOther marks all other calls, and those whose context has no purpose.
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -87,9 +87,10 @@
 	// RelayPrefix is the prefix of the leased records, one for each relay.
 	RelayPrefix = "relays/"
 	// CatalogPrefix is the prefix of the catalogs, one for each profile.
-	CatalogPrefix = "catalogs/"
-	bodyPrefix    = "bodies/"
-	deltaPrefix   = "deltas/"
+	CatalogPrefix   = "catalogs/"
+	bodyPrefix      = "bodies/"
+	departurePrefix = "departures/"
+	deltaPrefix     = "deltas/"
 	// digestLength is the number of leading characters of a digest that the key
 	// of a delta contains.
 	digestLength = 16
@@ -112,6 +113,11 @@
 	return DeltaPrefix(profile, digest) + base[:digestLength]
 }
 
+// DepartureKey returns the key of the record of a node's departed targets.
+func DepartureKey(node string) string {
+	return departurePrefix + node
+}
+
 // BodyKey returns the key of an immutable profile body.
 func BodyKey(profile, digest string) string {
 	return bodyPrefix + profile + "/" + digest
