Give requests with long bodies a fingerprint

Cause: a request whose body is over 64 KiB had no fingerprint, so that no crash was held against it.

Why this works: the fingerprint is made of the part of the body that the entry keeps, which is the same for the same body whether it is sent with a length or in chunks. Bodies that only differ beyond it count as equal; an answer clears them.

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -70,15 +70,14 @@
 	return h.Sum64()
 }
 
-// unknownFingerprint is the fingerprint of requests whose body is too large to be kept.
+// unknownFingerprint is that of calls which carry no fingerprint.
 const unknownFingerprint quarantiner.Fingerprint = 0
 
 // computeFingerprint hashes the properties that define equal requests: service,
-// method, path and query, originating service, and body.
+// method, path and query, originating service, and body. Of a body that is too large to
+// be kept it hashes the kept part: the rest is not known before the request is sent, and
+// the length only if the caller states it.
 func (j *job) computeFingerprint(origin string) quarantiner.Fingerprint {
-	if j.body.rest != nil {
-		return unknownFingerprint
-	}
 	h := fnv.New64a()
 	r := j.request
 	add(h, j.service.Name, r.Method, r.URL.RequestURI(), origin)
--- a/internal/forwarder/entry_test.go
+++ b/internal/forwarder/entry_test.go
@@ -25,6 +25,13 @@
 func (m singleNodeMesh) View() *gossiper.View       { return m.view }
 func (m singleNodeMesh) HomeSince(string) time.Time { return time.Time{} }
 
+// viewOf returns the view of a mesh of one node with a target.
+func viewOf(target string, l router.Limits) func() *gossiper.View {
+	m := gossiper.Member{Node: "n", PeerAddress: "127.0.0.1:1", Targets: []gossiper.Target{{Service: "s", Address: target, Slots: l.Slots}}}
+	v := gossiper.NewView([]gossiper.Member{m})
+	return func() *gossiper.View { return v }
+}
+
 // newEntry returns an entry that sends all requests to one target beside its node, and
 // the target's gate.
 func newEntry(t testing.TB, target string, l router.Limits) (*Entry, *gatekeeper.Gate) {
@@ -47,11 +54,10 @@
 	if o, err := h.Offer(s, []*holder.Profile{p}); o != holder.Applied {
 		t.Fatalf("offering the configuration returned %s: %v", o, err)
 	}
-	m := gossiper.Member{Node: "n", PeerAddress: "127.0.0.1:1", Targets: []gossiper.Target{{Service: "s", Address: target, Slots: l.Slots}}}
 	var c meter.Traffic
 	e := NewEntry(Dependencies{
 		Holder:     &h,
-		Mesh:       singleNodeMesh{gossiper.NewView([]gossiper.Member{m})},
+		Mesh:       singleNodeMesh{viewOf(target, l)()},
 		Gate:       NewGate(&r, noCrashes{}, DefaultDialect, &c),
 		Peers:      connector.NewPeers(&c, ""),
 		Stats:      &Stats{},
--- a/internal/forwarder/long_body_test.go
+++ b/internal/forwarder/long_body_test.go
@@ -94,7 +94,7 @@
 					for i := range 12 {
 						id := "r" + strconv.Itoa(i)
 						content := bytes.Repeat([]byte{byte('a' + i)}, size)
-						status := postBody(t, s.URL, id, content, chunked)
+						status := postTo(t, s.URL+"/x", id, content, chunked)
 						b.mu.Lock()
 						got, ran := b.read[id]
 						b.mu.Unlock()
@@ -120,13 +120,14 @@
 	}
 }
 
-func postBody(t *testing.T, url, id string, content []byte, chunked bool) int {
+// postTo posts a body, in chunks or with a length, and returns the status.
+func postTo(t *testing.T, url, id string, content []byte, chunked bool) int {
 	t.Helper()
 	body := io.Reader(bytes.NewReader(content))
 	if chunked {
 		body = struct{ io.Reader }{body}
 	}
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/x", body)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, body)
 	if err != nil {
 		t.Fatal(err)
 	}
