Close each answer that is not passed on to its end

Cause: the rest of an answer returns the slot of its target when it is closed. If the write of the part that is held in memory failed, since the caller had left, nobody closed the rest. Found beside it: a large error answer that a retry had replaced was not closed either.

Why this works: writing an answer closes it, however it ends, and every other place that drops an answer closes it.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -84,7 +84,7 @@
 	return a
 }
 
-// discard closes an answer that is not sent to the caller. It does nothing on nil.
+// discard closes what is left of an answer. It does nothing on nil.
 func (a *answer) discard() {
 	if a != nil && a.rest != nil {
 		_ = a.rest.Close()
@@ -104,9 +104,11 @@
 	return err
 }
 
-// write sends the answer to w. A streamed one is sent until end, unless end is zero. An
-// error means that the answer was cut short, which has to be visible to the caller.
+// write sends the answer to w and closes it. A streamed one is sent until end, unless end
+// is zero. An error means that the answer was cut short, which has to be visible to the
+// caller.
 func (a *answer) write(w http.ResponseWriter, end time.Time) error {
+	defer a.discard()
 	copyHeader(w.Header(), a.header)
 	if bodyAllowed(a.status) {
 		setLength(w.Header(), a.length)
@@ -125,7 +127,6 @@
 	if a.rest == nil {
 		return nil
 	}
-	defer func() { _ = a.rest.Close() }()
 	return stream(w, a.rest, end)
 }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -53,6 +53,7 @@
 			continue
 		}
 		if err == nil && (a.status < http.StatusInternalServerError || !j.repeatable()) {
+			failure.discard()
 			return a, nil
 		}
 		if err == nil {
@@ -320,6 +321,7 @@
 	if t.refused {
 		if a != nil {
 			t.message = string(a.held)
+			a.discard()
 		}
 		return nil, refusalError(t, p)
 	}
--- a/internal/forwarder/keyed.go
+++ b/internal/forwarder/keyed.go
@@ -105,6 +105,7 @@
 	p := r.Header.Get(ReplayedHeader)
 	a, err := bufferAnswer(r, c.method)
 	if t.refused {
+		a.discard()
 		return nil, refusalError(t, gossiper.Endpoint{Node: h.Node})
 	}
 	if err != nil {
--- a/internal/forwarder/probe.go
+++ b/internal/forwarder/probe.go
@@ -26,9 +26,11 @@
 	if err != nil {
 		return registrar.Announcement{}, classify(ctx, err, "gate: target "+address)
 	}
-	if _, err := bufferAnswer(r, q.Method); err != nil {
+	a, err := bufferAnswer(r, q.Method)
+	if err != nil {
 		return registrar.Announcement{}, classify(ctx, err, "gate: target "+address)
 	}
+	a.discard()
 	id := r.Header.Get(g.dialect.Self)
 	if r.Status != http.StatusOK || !registrar.ValidInstance(id) {
 		return registrar.Announcement{}, classifier.Error(classifier.Unavailable, classifier.NotRun, "gate: target %s answered with status %d and instance %q", address, r.Status, id)
