Leave Idempotency-Key to targets where the dialect does not know it

A node that has just become the home of a key cannot know whether an earlier home has run the request.

Cause: the header was read in each dialect, also in the platform's, where what may be repeated follows from the kind of a route.

Evidence: with the header read whatever the dialect says, as before, TestKeysAreLeftToTargets is answered 503 instead of 200.

Why this works: the dialect names the header of keys; the platform's has none, so that the header is passed on like any other and the request runs.

--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -7,6 +7,9 @@
 	Request string
 	// Deadline carries the time left for a request, in milliseconds.
 	Deadline string
+	// Key carries the caller's idempotency key. Without a name the header that callers may
+	// send is passed on like any other.
+	Key string
 	// Verdict tells the caller whether a refused request may have run.
 	Verdict string
 	// Profile tells the caller which profile and version routed the request.
@@ -38,6 +41,7 @@
 var DefaultDialect = Dialect{
 	Request:  RequestHeader,
 	Deadline: DeadlineHeader,
+	Key:      KeyHeader,
 	Verdict:  VerdictHeader,
 	Profile:  ProfileHeader,
 	Reserved: ownPrefix,
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -97,8 +97,8 @@
 	if !e.findRoute(j) {
 		return notRun(NoRoute, "no route of profile %q matches", j.profile.Name), false
 	}
-	if !j.setKey() {
-		return notRun(BadRequest, "%s has more than %d bytes", KeyHeader, maxKeyBytes), false
+	if !j.setKey(e.dialect.Key) {
+		return notRun(BadRequest, "%s has more than %d bytes", e.dialect.Key, maxKeyBytes), false
 	}
 	e.setDeadline(j)
 	var again bool
--- a/internal/forwarder/keyed.go
+++ b/internal/forwarder/keyed.go
@@ -29,13 +29,13 @@
 	errKeyMismatch  = classifier.Invalid.NewSubtype("key_mismatch")
 )
 
-// setKey sets the idempotency key of a request that is not repeatable. It returns
-// false if the key is too long.
-func (j *job) setKey() bool {
-	if j.repeatable() {
+// setKey sets the idempotency key of a request that is not repeatable from the given
+// header. It returns false if the key is too long.
+func (j *job) setKey(header string) bool {
+	if j.repeatable() || header == "" {
 		return true
 	}
-	j.key = j.request.Header.Get(KeyHeader)
+	j.key = j.request.Header.Get(header)
 	return len(j.key) <= maxKeyBytes
 }
 
@@ -139,7 +139,7 @@
 func (e *Entry) serveHomeRequest(w http.ResponseWriter, r *http.Request, c call) (*answer, error) {
 	j := e.newJob(r)
 	j.id = c.request
-	j.key = c.header.Get(KeyHeader)
+	j.key = c.header.Get(e.dialect.Key)
 	j.deadline = c.deadline
 	j.profile = e.holder.Current().Serving(c.profile)
 	if j.profile == nil {
