Read bodies until the deadline of their requests

Callers would see: no answer at their deadline after they had stalled inside a body, and slots of targets held meanwhile. Suspected by the review for bodies over 64 KiB.

Cause: the read deadline was taken back after the first 64 KiB, and after a failed read. The rest of a long body was read without one; and net/http, which reads what is left of a request before it sends an answer, waited for the caller of a short one.

Why this works: the deadline is removed at the end of the body only, so that every read of it ends in time, by the exchange that passes it on and by net/http.

--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -24,8 +24,8 @@
 	restReader *restReader
 }
 
-// readBody reads up to replayBytes of the body of r, until deadline, and leaves the
-// rest to be streamed.
+// readBody reads up to replayBytes of the body of r and leaves the rest to be streamed,
+// both until deadline.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*body, error) {
 	if r.ContentLength == 0 {
 		return &body{}, nil
@@ -35,8 +35,7 @@
 	}
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(deadline)
-	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
-	s := http.MaxBytesReader(w, r.Body, limit)
+	s := &timedBody{reader: http.MaxBytesReader(w, r.Body, limit), controller: c}
 	k, err := io.ReadAll(io.LimitReader(s, replayBytes+1))
 	if err != nil {
 		return nil, err
@@ -47,6 +46,23 @@
 	return &body{kept: k, rest: s, length: r.ContentLength}, nil
 }
 
+// timedBody reads a body until the read deadline of its connection, which it removes at
+// the end of the body: a caller that has sent its whole request may wait for longer. In
+// front of an answer net/http reads what is left of a body, also until that deadline.
+type timedBody struct {
+	reader     io.Reader
+	controller *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		_ = b.controller.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // streamedBody returns the body of r, of which nothing is kept.
 func streamedBody(r *http.Request) *body {
 	if r.ContentLength == 0 {
--- a/internal/forwarder/hops_test.go
+++ b/internal/forwarder/hops_test.go
@@ -18,7 +18,7 @@
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
 )
 
-var testLimits = router.Limits{Slots: 256, Connections: 256, Queue: 4, MaxBodyBytes: 1 << 10}
+var testLimits = router.Limits{Slots: 256, Connections: 256, Queue: 4, MaxBodyBytes: 1 << 20}
 
 // echoDialect is a dialect in which targets copy the request identifier to their answers
 // and sign them.
