Close the local listener before departures can no longer be recorded

Cause: a stop ended the recorder and the gossip loops first and closed the local listener last. A departure that came in between was answered 200, although its wait for the record had ended at once and nobody else heard of it. Reports of draining took the same way.

Change: the local listener is closed while the loops still run, so that each departure that it answers is recorded and gossiped. A stopping node that could not record one answers 503. Departures that were confirmed while the store was down are waited for, a second at most. The stop and the departures of the runner have files of their own.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -52,7 +52,20 @@
 // Record adds the departure of a target process, and waits until the store has it or ctx
 // is done. It reports whether the store has it; otherwise Run keeps trying.
 func (r *Recorder) Record(ctx context.Context, t gossiper.Target) bool {
-	n := r.add(t)
+	return r.await(ctx, r.add(t))
+}
+
+// Flush waits until the store has every departure that was recorded before, or ctx is done.
+// It reports whether the store has them.
+func (r *Recorder) Flush(ctx context.Context) bool {
+	r.mu.Lock()
+	n := r.added
+	r.mu.Unlock()
+	return r.await(ctx, n)
+}
+
+// await waits until n departures of this process are stored, or ctx is done.
+func (r *Recorder) await(ctx context.Context, n int) bool {
 	for {
 		r.mu.Lock()
 		stored, progress := r.stored >= n, r.progress
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -188,6 +188,41 @@
 	})
 }
 
+// TestFlushWaitsForDepartures guards against a process that ends before the store has the
+// departures that were confirmed without it.
+func TestFlushWaitsForDepartures(t *testing.T) {
+	tests := []struct {
+		name    string
+		outage  time.Duration
+		flushed bool
+	}{
+		{"the store answers", 0, true},
+		{"the store returns in time", time.Second, true},
+		{"the store stays down", time.Minute, false},
+	}
+	for _, c := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			s := &faultyStore{Store: &imitator.Store{}}
+			r, end := run(t, s, nil)
+			defer end()
+			synctest.Wait()
+			s.set(c.outage > 0, false)
+			time.AfterFunc(c.outage, func() { s.set(false, false) })
+			short, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer cancel()
+			r.Record(short, target("a"))
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if got := r.Flush(ctx); got != c.flushed {
+				t.Errorf("%s: flushed %v, want %v", c.name, got, c.flushed)
+			}
+			if _, err := s.Store.Get(t.Context(), storer.DepartureKey("n")); (err == nil) != c.flushed {
+				t.Errorf("%s: the record of the store: %v", c.name, err)
+			}
+		})
+	}
+}
+
 // TestRecordsAreBounded checks the size of a record, and that one that cannot be read is
 // replaced.
 func TestRecordsAreBounded(t *testing.T) {
--- a/internal/runner/local.go
+++ b/internal/runner/local.go
@@ -11,7 +11,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
 	"github.com/dragonflydoor/dragonflydoor/internal/parser"
 	"github.com/dragonflydoor/dragonflydoor/internal/registrar"
 	"github.com/dragonflydoor/dragonflydoor/internal/router"
@@ -25,8 +24,6 @@
 	defaultConnections   = 110
 	defaultQueue         = 24
 	defaultBodyBytes     = 1 << 20
-	// departureWait is below the time within which targets expect an answer.
-	departureWait = 600 * time.Millisecond
 )
 
 // announcement is what a target says of itself, with the profile that it wants.
@@ -99,54 +96,6 @@
 	}
 }
 
-// Announce takes the announcement of the target beside this node. One of a
-// service that the settings do not name is refused.
-func (n *Node) Announce(a registrar.Announcement) error {
-	l := n.live.Load()
-	if s := l.Service; s != "" && a.Service != s {
-		klog.InfoS("Announcement refused", "target", a.Address, "service", a.Service, "expected", s)
-		return fmt.Errorf("service %q is not the one beside node %s", a.Service, n.settings.Node)
-	}
-	if t := l.TargetAddress; t != "" {
-		// Only this address can be reached from here.
-		a.Address = t
-	}
-	if err := n.take(a); err != nil {
-		return err
-	}
-	if t, ok := n.registrar.Leaving(a.Address, a.Instance); ok {
-		n.record(t)
-	}
-	return nil
-}
-
-// Depart closes the gate of a target that leaves.
-func (n *Node) Depart(instance string) {
-	t, known := n.registrar.RecordDeparture(instance, time.Now())
-	klog.InfoS("Target leaves", "instance", instance, "known", known)
-	if known {
-		n.record(t)
-	}
-}
-
-// record waits until the store has the departure of a target, so that no node uses the
-// target again after this node has confirmed that it leaves.
-func (n *Node) record(t gossiper.Target) {
-	ctx, cancel := context.WithTimeout(n.stopping, departureWait)
-	defer cancel()
-	if !n.recorder.Record(ctx, t) {
-		klog.InfoS("Departure is not recorded yet", "target", t.Address, "service", t.Service, "instance", t.Instance)
-	}
-}
-
-// restoreDepartures keeps targets out of use that left an earlier process of this node.
-func (n *Node) restoreDepartures(l []gossiper.Target) {
-	n.registrar.RestoreDepartures(l, time.Now())
-	for _, t := range l {
-		klog.InfoS("Target of an earlier life of the node", "target", t.Address, "service", t.Service, "instance", t.Instance, "leaving", t.Draining)
-	}
-}
-
 // Ready reports whether callers may be sent to this node: it has a
 // configuration, and is not about to stop.
 func (n *Node) Ready() bool {
