Record the latest start time that a departed process can have

Cause: a node that starts knows the target by a probe, without a start time, and recorded the departure with the start time 0. Every report is later than that, and was taken for one of a later process. A target that reports no start time had the same record. The departure of a process that the node did not know, or did not know any more, was confirmed, kept for 10 s and not recorded.

On the code before, 7 of the 8 cases of TestDeparturesCoverProcessesOfUnknownStart were red; so were TestRepeatedDeparturesAreTheSame and TestLaterProcessReplacesProbedOne, which shows that a later process under the same name was never used.

Change: a departure holds the reported start time, or else the time of the departure, since a process starts before it leaves. Departures of processes that the node does not know are recorded and gossiped where the settings name the only target. A departure never covers less than one before it.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -87,6 +87,10 @@
 	Suspended bool
 	// ColdUntil is the time until which the target is slow after its start.
 	ColdUntil time.Time
+
+	// latestStart is, for a target that leaves, the latest start time in Unix milliseconds
+	// that it can have if it does not report one.
+	latestStart int64
 }
 
 // Outcome is the result of an announcement.
@@ -113,7 +117,8 @@
 
 // departure records that a target process has left.
 type departure struct {
-	// target has no service if only the instance name is known.
+	// target has no service if only the instance name is known. Its start time is the
+	// latest one that the process can have.
 	target gossiper.Target
 	at     time.Time
 }
@@ -136,6 +141,9 @@
 	Changed func([]gossiper.Target)
 	// TTL is how long an announcement is valid; zero means DefaultTTL.
 	TTL time.Duration
+	// Beside, if set, returns the service and the address of the only target that may
+	// announce itself. One of them is empty if others may too.
+	Beside func() (service, address string)
 	// Versions tells other nodes the versions of the targets. It is off where no
 	// roll-outs are ordered, so that records stay as short as they were.
 	Versions bool
@@ -186,7 +194,13 @@
 }
 
 func (t *Target) sameProcess(a Announcement) bool {
-	return t.Service == a.Service && t.Instance == a.Instance && (t.StartedAtUnixMS == a.StartedAtUnixMS || t.Probed)
+	if t.Service != a.Service || t.Instance != a.Instance {
+		return false
+	}
+	if t.Probed && t.Draining {
+		return a.StartedAtUnixMS <= t.latestStart
+	}
+	return t.StartedAtUnixMS == a.StartedAtUnixMS || t.Probed
 }
 
 func (r *Registrar) add(a Announcement, l router.Limits, now time.Time) Outcome {
@@ -206,7 +220,7 @@
 	t := &Target{Announcement: a, Gate: gatekeeper.New(l, slowStartFrom), AnnouncedAt: now, ExpiresAt: now.Add(r.ttl()), ColdUntil: now.Add(a.ColdRemaining)}
 	r.targets[a.Address] = t
 	if a.Draining {
-		t.Gate.Drain()
+		t.close(now.UnixMilli())
 	}
 	r.notify()
 	if a.Draining {
@@ -219,16 +233,16 @@
 	o.ExpiresAt = now.Add(r.ttl())
 	startsDraining := a.Draining && !o.Draining
 	a.Draining = a.Draining || o.Draining
-	changed := o.Down || r.recordOf(o) != r.record(a)
+	before, wasDown := r.recordOf(o), o.Down
 	o.Down = false
 	o.Announcement = a
 	o.ColdUntil = now.Add(a.ColdRemaining)
 	if startsDraining {
-		o.Gate.Drain()
+		o.close(now.UnixMilli())
 	}
 	// The configuration may have arrived or changed since the last announcement.
 	o.Gate.Limit(l)
-	if changed {
+	if wasDown || before != r.recordOf(o) {
 		r.notify()
 	}
 	if startsDraining {
@@ -244,28 +258,35 @@
 	return DefaultTTL
 }
 
-// record returns the record of a target that is gossiped to other nodes.
-func (r *Registrar) record(a Announcement) gossiper.Target {
-	t := gossiper.Target{
-		Service:     a.Service,
-		Address:     a.Address,
-		Draining:    a.Draining,
-		Slots:       a.Slots,
-		Connections: a.Connections,
-	}
-	if a.Draining {
-		t.Instance = a.Instance
-		t.StartedAtUnixMS = a.StartedAtUnixMS
-	}
-	if r.Versions && len(a.Version) <= maxVersionBytes {
-		t.Version = a.Version
+// close permanently stops new requests to the target, which has started at latestStart at
+// the latest.
+func (t *Target) close(latestStart int64) {
+	t.Gate.Drain()
+	t.Draining = true
+	if t.latestStart == 0 {
+		t.latestStart = latestStart
 	}
-	return t
 }
 
+// recordOf returns the record of a target that is gossiped to other nodes.
 func (r *Registrar) recordOf(t *Target) gossiper.Target {
-	k := r.record(t.Announcement)
-	k.Draining = k.Draining || t.Suspended
+	k := gossiper.Target{
+		Service:     t.Service,
+		Address:     t.Address,
+		Draining:    t.Draining || t.Suspended,
+		Slots:       t.Slots,
+		Connections: t.Connections,
+	}
+	if t.Draining {
+		k.Instance = t.Instance
+		k.StartedAtUnixMS = t.StartedAtUnixMS
+		if k.StartedAtUnixMS == 0 {
+			k.StartedAtUnixMS = t.latestStart
+		}
+	}
+	if r.Versions && len(t.Version) <= maxVersionBytes {
+		k.Version = t.Version
+	}
 	return k
 }
 
@@ -281,16 +302,16 @@
 }
 
 // Drain stops new requests to the target at address and returns the target.
-func (r *Registrar) Drain(address string) (Target, bool) {
+func (r *Registrar) Drain(address string, now time.Time) (Target, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, ok := r.targets[address]
 	if !ok {
 		return Target{}, false
 	}
-	t.Gate.Drain()
-	if !t.Draining {
-		t.Draining = true
+	draining := t.Draining
+	t.close(now.UnixMilli())
+	if !draining {
 		r.notify()
 	}
 	return *t, true
@@ -309,7 +330,8 @@
 }
 
 // RecordDeparture permanently stops new requests to one process of a target, and returns
-// its record. It returns false if that process is not known.
+// the record of its departure. It returns false if neither the process nor the only target
+// that it can be is known, so that nobody else can be told.
 func (r *Registrar) RecordDeparture(instance string, now time.Time) (gossiper.Target, bool) {
 	if !ValidInstance(instance) {
 		return gossiper.Target{}, false
@@ -320,18 +342,29 @@
 		if t.Instance != instance {
 			continue
 		}
-		a := t.Announcement
-		a.Draining = true
-		r.storeDeparture(r.record(a), now)
-		t.Gate.Drain()
-		if !t.Draining {
-			t.Draining = true
+		draining := t.Draining
+		t.close(now.UnixMilli())
+		k := r.recordOf(t)
+		r.storeDeparture(k, now)
+		if !draining {
 			r.notify()
 		}
-		return r.record(a), true
+		return k, true
+	}
+	if d, ok := r.departed[instance]; ok && !d.expired(now) {
+		return d.target, d.target.Service != ""
+	}
+	k := gossiper.Target{Instance: instance, StartedAtUnixMS: now.UnixMilli(), Draining: true}
+	if r.Beside != nil {
+		k.Service, k.Address = r.Beside()
 	}
-	r.storeDeparture(gossiper.Target{Instance: instance}, now)
-	return gossiper.Target{}, false
+	if k.Service == "" || k.Address == "" {
+		r.storeDeparture(gossiper.Target{Instance: instance}, now)
+		return gossiper.Target{}, false
+	}
+	r.storeDeparture(k, now)
+	r.notify()
+	return k, true
 }
 
 // Leaving returns the record of the target at address if that process is leaving.
@@ -342,7 +375,7 @@
 	if !ok || t.Instance != instance || !t.Draining {
 		return gossiper.Target{}, false
 	}
-	return r.record(t.Announcement), true
+	return r.recordOf(t), true
 }
 
 // RestoreDepartures applies the targets that an earlier process of this node had gossiped, as
@@ -355,12 +388,15 @@
 		if !f.Draining || !ValidInstance(f.Instance) {
 			continue
 		}
+		if f.StartedAtUnixMS == 0 {
+			// Earlier builds recorded no bound. The process has started before it left.
+			f.StartedAtUnixMS = now.UnixMilli()
+		}
 		r.storeDeparture(f, now)
 		changed = true
 		for _, t := range r.targets {
 			if t.Instance == f.Instance && (t.StartedAtUnixMS <= f.StartedAtUnixMS || t.Probed) {
-				t.Draining = true
-				t.Gate.Drain()
+				t.close(f.StartedAtUnixMS)
 			}
 		}
 	}
@@ -378,6 +414,10 @@
 			delete(r.departed, n)
 		}
 	}
+	if d, ok := r.departed[t.Instance]; ok {
+		// An earlier process under the same name may be recorded after a later one.
+		t.StartedAtUnixMS = max(t.StartedAtUnixMS, d.target.StartedAtUnixMS)
+	}
 	r.departed[t.Instance] = departure{target: t, at: now}
 }
 
--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -98,6 +98,103 @@
 	}
 }
 
+// TestDeparturesCoverProcessesOfUnknownStart guards against targets that are used again
+// after a restart of the node: when they left, the node did not know their start time, and
+// took the late announcement of the process that had left for one of a later process.
+func TestDeparturesCoverProcessesOfUnknownStart(t *testing.T) {
+	const life = 20 * time.Second
+	left := start.Add(time.Second)
+	born := start.Add(-life).UnixMilli()
+	tests := []struct {
+		name   string
+		before []Announcement
+		leave  func(r *Registrar)
+	}{
+		{"known by a probe", []Announcement{probed(announcement("a", 0, 0))}, depart},
+		{"known by a probe, and drains in the product's interface", []Announcement{probed(announcement("a", 0, 0))}, func(r *Registrar) { r.Drain(address, start.Add(time.Second)) }},
+		{"reports no start time", []Announcement{announcement("a", 0, 1)}, depart},
+		{"reports no start time, and drains", []Announcement{announcement("a", 0, 1), draining(announcement("a", 0, 2))}, func(*Registrar) {}},
+		{"not known yet", nil, depart},
+		{"not known any more", []Announcement{announcement("a", born, 1)}, func(r *Registrar) {
+			r.Expire(start.Add(DefaultTTL + time.Second))
+			depart(r)
+		}},
+		{"replaced at its address", []Announcement{announcement("a", born, 1), announcement("b", born+1, 1)}, depart},
+		{"an earlier process under the name left before", []Announcement{announcement("a", born-1, 1)}, func(r *Registrar) {
+			depart(r)
+			r.Announce(announcement("a", born, 1), router.Limits{Slots: 4}, start)
+			depart(r)
+			r.Expire(start.Add(DefaultTTL + time.Second))
+			r.RestoreDepartures([]gossiper.Target{{Service: "s", Address: address, Instance: "a", StartedAtUnixMS: born - 1, Draining: true}}, left)
+		}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var gossiped []gossiper.Target
+			earlier := Registrar{Changed: func(l []gossiper.Target) { gossiped = l }, Beside: beside}
+			for _, a := range c.before {
+				earlier.Announce(a, router.Limits{Slots: 4}, start)
+			}
+			c.leave(&earlier)
+			var r Registrar
+			// Two restarts: the next process passes on what it was told.
+			for range 2 {
+				r = Registrar{Changed: func(l []gossiper.Target) { gossiped = l }, Beside: beside}
+				r.RestoreDepartures(gossiped, left.Add(time.Second))
+				if o := r.Announce(probed(announcement("a", 0, 0)), router.Limits{Slots: 4}, left.Add(time.Second)); o != Stale {
+					t.Errorf("a healthy probe was %s", o)
+				}
+				if o := r.Announce(announcement("a", born, 9), router.Limits{Slots: 4}, left.Add(2*time.Second)); o != Stale || acceptsRequests(&r) {
+					t.Errorf("the late announcement was %s", o)
+				}
+			}
+			later := announcement("a", left.Add(time.Second).UnixMilli(), 1)
+			if o := r.Announce(later, router.Limits{Slots: 4}, left.Add(3*time.Second)); o != Added || !acceptsRequests(&r) {
+				t.Errorf("the announcement of a later process was %s", o)
+			}
+		})
+	}
+}
+
+func depart(r *Registrar) { r.RecordDeparture("a", start.Add(time.Second)) }
+
+func beside() (service, target string) { return "s", address }
+
+// TestRepeatedDeparturesAreTheSame guards against a departure that is recorded again
+// whenever the target repeats it.
+func TestRepeatedDeparturesAreTheSame(t *testing.T) {
+	tests := []struct {
+		name   string
+		before []Announcement
+	}{
+		{"known by a probe", []Announcement{probed(announcement("a", 0, 0))}},
+		{"not known", nil},
+	}
+	for _, c := range tests {
+		r := Registrar{Beside: beside}
+		for _, a := range c.before {
+			r.Announce(a, router.Limits{Slots: 4}, start)
+		}
+		first, ok := r.RecordDeparture("a", start)
+		again, also := r.RecordDeparture("a", start.Add(time.Second))
+		if !ok || !also || first != again {
+			t.Errorf("%s: recorded %+v, then %+v", c.name, first, again)
+		}
+	}
+}
+
+// TestLaterProcessReplacesProbedOne guards against a target that stays out of use for good:
+// the node knew an earlier process under its name by a probe only when that left.
+func TestLaterProcessReplacesProbedOne(t *testing.T) {
+	var r Registrar
+	r.Announce(probed(announcement("a", 0, 0)), router.Limits{Slots: 4}, start)
+	depart(&r)
+	later := announcement("a", start.Add(5*time.Second).UnixMilli(), 1)
+	if o := r.Announce(later, router.Limits{Slots: 4}, start.Add(5*time.Second)); o != Added || !acceptsRequests(&r) {
+		t.Errorf("the announcement of a later process was %s", o)
+	}
+}
+
 // TestLimitsFollowTheConfiguration checks that a target that was announced before
 // the node had a configuration gets the higher limits of the configuration.
 func TestLimitsFollowTheConfiguration(t *testing.T) {
--- a/internal/runner/local.go
+++ b/internal/runner/local.go
@@ -163,7 +163,7 @@
 // drainTarget stops new work for a target. The target asks again until
 // nothing is in flight.
 func (n *Node) drainTarget(w http.ResponseWriter, r *http.Request) {
-	t, ok := n.registrar.Drain(r.PathValue("address"))
+	t, ok := n.registrar.Drain(r.PathValue("address"), time.Now())
 	if !ok {
 		fail(w, http.StatusNotFound, fmt.Errorf("no target at %s", r.PathValue("address")))
 		return
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -130,6 +130,10 @@
 	n := &Node{settings: s, around: around, started: time.Now(), lines: logger.NewLines(), joined: make(chan struct{})}
 	n.live.Store(&s)
 	n.registrar.TTL = s.AnnouncementTTL
+	n.registrar.Beside = func() (string, string) {
+		l := n.live.Load()
+		return l.Service, l.TargetAddress
+	}
 	store := newSwitch(n.storeCalls.Count(around.Store(s.StoreAddress, &n.control)))
 	n.store = store
 	if err := n.listen(); err != nil {
