Keep the departure of draining targets that are removed

A target whose draining had been confirmed could get requests again after a late report.

Cause: the node kept the draining with the target, and forgot it when the target had been silent for five seconds or another process had taken its address. The gossiped record no longer named it either.

Evidence: TestDrainingOutlivesRemoval was red on the code before, for the node itself and for one that restarts and asks its peers.

Change: what is removed or replaced while it drains is kept as departed.

Result: the test is green.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -206,6 +206,7 @@
 func (r *Registrar) add(a Announcement, l router.Limits, now time.Time) Outcome {
 	if o, ok := r.targets[a.Address]; ok {
 		o.Gate.Drain()
+		r.keepDeparture(o, now)
 	}
 	if r.targets == nil {
 		r.targets = make(map[string]*Target)
@@ -405,6 +406,14 @@
 	}
 }
 
+// keepDeparture stores the departure of a target that is removed or replaced while it
+// drains, since announcements that it sent before may still arrive.
+func (r *Registrar) keepDeparture(t *Target, now time.Time) {
+	if t.Draining && ValidInstance(t.Instance) {
+		r.storeDeparture(r.recordOf(t), now)
+	}
+}
+
 func (r *Registrar) storeDeparture(t gossiper.Target, now time.Time) {
 	if r.departed == nil {
 		r.departed = make(map[string]departure)
@@ -443,7 +452,7 @@
 }
 
 // Remove closes the gate of the target at address and deletes the target.
-func (r *Registrar) Remove(address string) bool {
+func (r *Registrar) Remove(address string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, ok := r.targets[address]
@@ -451,6 +460,7 @@
 		return false
 	}
 	t.Gate.Drain()
+	r.keepDeparture(t, now)
 	delete(r.targets, address)
 	r.notify()
 	return true
@@ -460,7 +470,7 @@
 func (r *Registrar) Expire(now time.Time) []Announcement {
 	var l []Announcement
 	for _, t := range r.List() {
-		if now.After(t.ExpiresAt) && r.Remove(t.Address) {
+		if now.After(t.ExpiresAt) && r.Remove(t.Address, now) {
 			l = append(l, t.Announcement)
 		}
 	}
--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -195,6 +195,41 @@
 	}
 }
 
+// TestDrainingOutlivesRemoval guards against a draining target that is used again: it was
+// removed because it had become silent, or was replaced, and an announcement that it had
+// sent before it drained arrived late.
+func TestDrainingOutlivesRemoval(t *testing.T) {
+	tests := []struct {
+		name   string
+		remove func(r *Registrar)
+	}{
+		{"it became silent", func(r *Registrar) { r.Expire(start.Add(DefaultTTL + time.Second)) }},
+		{"another process replaced it and became silent", func(r *Registrar) {
+			r.Announce(announcement("b", 6, 1), router.Limits{Slots: 4}, start)
+			r.Expire(start.Add(DefaultTTL + time.Second))
+		}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var gossiped []gossiper.Target
+			r := Registrar{Changed: func(l []gossiper.Target) { gossiped = l }}
+			r.Announce(announcement("a", 5, 3), router.Limits{Slots: 4}, start)
+			r.Announce(draining(announcement("a", 5, 4)), router.Limits{Slots: 4}, start)
+			c.remove(&r)
+			restarted := Registrar{}
+			restarted.RestoreDepartures(gossiped, start)
+			for _, k := range []*Registrar{&r, &restarted} {
+				if o := k.Announce(announcement("a", 5, 2), router.Limits{Slots: 4}, start.Add(DefaultTTL+2*time.Second)); o != Stale {
+					t.Errorf("the late announcement was %s", o)
+				}
+				if o := k.Announce(announcement("a", 7, 1), router.Limits{Slots: 4}, start.Add(DefaultTTL+2*time.Second)); o != Added {
+					t.Errorf("the announcement of a later process was %s", o)
+				}
+			}
+		})
+	}
+}
+
 // TestLimitsFollowTheConfiguration checks that a target that was announced before
 // the node had a configuration gets the higher limits of the configuration.
 func TestLimitsFollowTheConfiguration(t *testing.T) {
--- a/internal/runner/local.go
+++ b/internal/runner/local.go
@@ -172,7 +172,7 @@
 }
 
 func (n *Node) removeTarget(w http.ResponseWriter, r *http.Request) {
-	if !n.registrar.Remove(r.PathValue("address")) {
+	if !n.registrar.Remove(r.PathValue("address"), time.Now()) {
 		fail(w, http.StatusNotFound, fmt.Errorf("no target at %s", r.PathValue("address")))
 	}
 }
