Reject the end of a connection after a failed write as the end of a body

A target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written.

Cause: a socket reports its error once. The client writes the request before it reads the response; the writer got the reset, and the reader saw an end like any other, which is where a body without a length ends.

Change: once a write of the request has failed, a response without a length ends with an error. Responses with a length, and those of peers that close their sending side and read on, are returned as before.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -47,6 +47,9 @@
 	// heard is when the response began to be awaited, or when the peer last sent an
 	// interim response.
 	heard time.Time
+	// endUnproven says that the end of the connection does not mark the end of a body: a
+	// socket reports a reset once, and the writer of the request may have got it.
+	endUnproven bool
 	// noReuse says that the connection must not be reused, because of
 	// unexpected data or because the response ends it.
 	noReuse bool
@@ -70,6 +73,7 @@
 			return nil, err
 		}
 		x.noReuse = true
+		x.endUnproven = isCloseDelimited(r)
 		return x.response(r), nil
 	}
 	r, err := x.read() //nolint:bodyclose // the caller closes the response
@@ -333,6 +337,9 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) && b.exchange.endUnproven {
+		err = io.ErrUnexpectedEOF
+	}
 	if errors.Is(err, io.EOF) {
 		b.exchange.release(b.header)
 	} else if err != nil {
--- a/internal/exchanger/upload_test.go
+++ b/internal/exchanger/upload_test.go
@@ -64,6 +64,78 @@
 	}
 }
 
+// TestPartsOfEarlyResponsesAreNotComplete guards against the part of a response that is
+// taken for all of it: a response without a length that came before the body of the request
+// had been written, and whose connection was then reset. The socket reports the reset to
+// the writer, and the reader sees an end like any other.
+func TestPartsOfEarlyResponsesAreNotComplete(t *testing.T) {
+	const sent = 3000
+	tests := []struct {
+		name  string
+		pause time.Duration
+		end   func(k *net.TCPConn)
+		// length is the one that the response states, -1 for none.
+		length int
+		whole  bool
+	}{
+		{"reset at once", 0, func(k *net.TCPConn) { _ = k.SetLinger(0) }, -1, false},
+		{"reset later", 30 * time.Millisecond, func(k *net.TCPConn) { _ = k.SetLinger(0) }, -1, false},
+		{"closed with unread bytes", 0, func(*net.TCPConn) {}, -1, false},
+		{"closed later with unread bytes", 30 * time.Millisecond, func(*net.TCPConn) {}, -1, false},
+		{"reset after a part of the length", 30 * time.Millisecond, func(k *net.TCPConn) { _ = k.SetLinger(0) }, sent + 1, false},
+		{"reset after the whole length", 30 * time.Millisecond, func(k *net.TCPConn) { _ = k.SetLinger(0) }, sent, true},
+		{"ended in order", 0, func(k *net.TCPConn) {
+			_ = k.CloseWrite()
+			_, _ = io.Copy(io.Discard, k)
+		}, -1, true},
+	}
+	for _, c := range tests {
+		for _, upload := range []int64{4 << 20, -1} {
+			t.Run(fmt.Sprintf("%s, upload of length %d", c.name, upload), func(t *testing.T) {
+				t.Parallel()
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = l.Close() }()
+				go func() {
+					k, err := l.Accept()
+					if err != nil {
+						return
+					}
+					defer func() { _ = k.Close() }()
+					if _, err := http.ReadRequest(bufio.NewReader(k)); err != nil {
+						return
+					}
+					head := "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n"
+					if c.length >= 0 {
+						head += fmt.Sprintf("Content-Length: %d\r\n", c.length)
+					}
+					_, _ = io.WriteString(k, head+"\r\n"+strings.Repeat("x", sent))
+					time.Sleep(c.pause)
+					if n, ok := k.(*net.TCPConn); ok {
+						c.end(n)
+					}
+				}()
+				q := newRequest("1")
+				q.Method, q.Length = http.MethodPost, upload
+				q.Body = io.LimitReader(zeros{}, 4<<20)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				r, err := newTestClient(time.Second).Do(ctx, l.Addr().String(), q)
+				var n int64
+				if err == nil {
+					n, err = io.Copy(io.Discard, r.Body)
+					_ = r.Body.Close()
+				}
+				if c.whole && (err != nil || n != sent) || !c.whole && err == nil {
+					t.Errorf("got %d bytes, %v", n, err)
+				}
+			})
+		}
+	}
+}
+
 // slowReader is a part of a body that takes a while to arrive and is empty.
 type slowReader time.Duration
 
--- /dev/null
+++ b/internal/forwarder/malformed_test.go
@@ -0,0 +1,91 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/gossiper"
+)
+
+// TestMalformedAnswersReachNoCaller guards against what is no whole answer of a target and
+// reaches the caller as one, from the target beside the node or by way of another node.
+func TestMalformedAnswersReachNoCaller(t *testing.T) {
+	const upload = 4 << 20
+	tests := []struct {
+		name, answer string
+		// body is the length of the request's body.
+		body int
+	}{
+		{"a part without a length before a reset, during an upload", signed("1") + "\r\n" + strings.Repeat("x", 3000), upload},
+		{"a part whose rest the reset discards", signed("1") + "\r\n" + strings.Repeat("x", 2*maxBufferedBytesUnknownLength), upload},
+	}
+	for _, c := range tests {
+		eachHop(t, c.name, true, func(t *testing.T, remote bool) {
+			target := resettingTarget(t, c.answer)
+			n := newPathNode(t, "other", target, nil)
+			front := n
+			if remote {
+				front = newPathNode(t, "n", "127.0.0.1:1", nil)
+			}
+			v := gossiper.NewView([]gossiper.Member{n.member})
+			front.entry.view = func() *gossiper.View { return v }
+			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+receive(t, front.entry)+"/x", bytes.NewReader(make([]byte, c.body)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			q.Header.Set("X-Id", "1")
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+			defer client.CloseIdleConnections()
+			r, err := client.Do(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = r.Body.Close() }()
+			b, err := io.ReadAll(r.Body)
+			if s := r.Header.Get("X-Signed"); r.StatusCode != http.StatusBadGateway || s != "" {
+				t.Errorf("the caller got %d with %d bytes, signature %q, %v", r.StatusCode, len(b), s, err)
+			}
+			if s := r.Header.Get("X-Verdict"); s != "may_have_run" {
+				t.Errorf("the verdict is %q", s)
+			}
+		})
+	}
+}
+
+// resettingTarget starts a target that reads the head of a request, sends answer and resets the
+// connection, and returns its address.
+func resettingTarget(t *testing.T, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			k, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = k.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(k)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(k, answer)
+				// The answer arrives before the reset does.
+				time.Sleep(20 * time.Millisecond)
+				if n, ok := k.(*net.TCPConn); ok {
+					_ = n.SetLinger(0)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
