Reject responses with a status that does not exist

Cause: net/http takes any three characters that are a number for a status, and any version for HTTP, and the client for targets and peers took all statuses below 200 for interim ones, 101 too, after which the connection no longer speaks HTTP.

Change: a head with a status outside 100 to 599, with 101, or of another protocol than HTTP/1 breaks the exchange.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -267,7 +267,11 @@
 func (x *exchange) readHeader(q *http.Request) (*http.Response, error) {
 	x.conn.headerLimiter.setLimit(maxHeaderBytes)
 	defer x.conn.headerLimiter.clearLimit()
-	return http.ReadResponse(x.conn.reader, q)
+	r, err := http.ReadResponse(x.conn.reader, q)
+	if err != nil {
+		return nil, err
+	}
+	return r, CheckHead(r)
 }
 
 // matches compares request IDs and discards a response to another request.
--- a/internal/forwarder/malformed_test.go
+++ b/internal/forwarder/malformed_test.go
@@ -24,6 +24,13 @@
 	}{
 		{"a part without a length before a reset, during an upload", signed("1") + "\r\n" + strings.Repeat("x", 3000), upload},
 		{"a part whose rest the reset discards", signed("1") + "\r\n" + strings.Repeat("x", 2*maxBufferedBytesUnknownLength), upload},
+		{"status 000", odd("000"), 0},
+		{"status 000 before a whole answer", "HTTP/1.1 000 None\r\nX-Id: 1\r\n\r\n" + odd("200"), 0},
+		{"status 099", odd("099"), 0},
+		{"status +20", odd("+20"), 0},
+		{"status 600", odd("600"), 0},
+		{"status 101 before a whole answer", "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\n\r\n" + odd("200"), 0},
+		{"protocol HTTP/2.0", strings.Replace(odd("200"), "HTTP/1.1", "HTTP/2.0", 1), 0},
 	}
 	for _, c := range tests {
 		eachHop(t, c.name, true, func(t *testing.T, remote bool) {
@@ -58,6 +65,11 @@
 	}
 }
 
+// odd returns an answer to request "1" with a status of its own.
+func odd(status string) string {
+	return "HTTP/1.1 " + status + " Odd\r\nX-Id: 1\r\nX-Signed: y\r\nContent-Length: 2\r\n\r\nok"
+}
+
 // resettingTarget starts a target that reads the head of a request, sends answer and resets the
 // connection, and returns its address.
 func resettingTarget(t *testing.T, answer string) string {
