Reject responses whose head has a malformed field

Cause: net/http refuses control bytes in names and accepts blanks. It does not take "Content-Length :" or "Transfer-Encoding :" for the framing that the peer meant, so that the body ended with the connection and held the chunk sizes.

Change: a head in which a name is no token, or a value holds a control byte, is no response, for targets, peers, probes, kept answers and the store. The check moves to a package of its own, which the platform's client of the store may import: it decides nothing about calls and does no input or output.

Transfer-Encoding in an HTTP/1.0 response, which net/http removes, is left.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -17,6 +17,8 @@
 	"unicode"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/dragonflydoor/dragonflydoor/internal/screener"
 )
 
 var (
@@ -271,7 +273,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return r, CheckHead(r)
+	return r, screener.CheckHead(r)
 }
 
 // matches compares request IDs and discards a response to another request.
--- a/internal/forwarder/malformed_test.go
+++ b/internal/forwarder/malformed_test.go
@@ -24,17 +24,28 @@
 	}{
 		{"a part without a length before a reset, during an upload", signed("1") + "\r\n" + strings.Repeat("x", 3000), upload},
 		{"a part whose rest the reset discards", signed("1") + "\r\n" + strings.Repeat("x", 2*maxBufferedBytesUnknownLength), upload},
-		{"status 000", odd("000"), 0},
-		{"status 000 before a whole answer", "HTTP/1.1 000 None\r\nX-Id: 1\r\n\r\n" + odd("200"), 0},
-		{"status 099", odd("099"), 0},
-		{"status +20", odd("+20"), 0},
-		{"status 600", odd("600"), 0},
-		{"status 101 before a whole answer", "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\n\r\n" + odd("200"), 0},
-		{"protocol HTTP/2.0", strings.Replace(odd("200"), "HTTP/1.1", "HTTP/2.0", 1), 0},
+		{"status 000", odd("000", "X-A: b"), 0},
+		{"status 000 before a whole answer", "HTTP/1.1 000 None\r\nX-Id: 1\r\n\r\n" + odd("200", "X-A: b"), 0},
+		{"status 099", odd("099", "X-A: b"), 0},
+		{"status +20", odd("+20", "X-A: b"), 0},
+		{"status 600", odd("600", "X-A: b"), 0},
+		{"status 101 before a whole answer", "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\n\r\n" + odd("200", "X-A: b"), 0},
+		{"blank in a name", odd("200", "X A: b"), 0},
+		{"blank before the colon", odd("200", "X-A : b"), 0},
+		{"two blanks before the colon", odd("200", "X-A  : b"), 0},
+		{"tab before the colon", odd("200", "X-A\t: b"), 0},
+		{"control byte in a name", odd("200", "X-\x01A: b"), 0},
+		{"carriage return in a name", odd("200", "X-A\r: b"), 0},
+		{"no name", odd("200", ": b"), 0},
+		{"control byte in a value", odd("200", "X-A: b\x00c"), 0},
+		{"blank after Content-Length", strings.Replace(odd("200", "X-A: b"), "Content-Length:", "Content-Length :", 1), 0},
+		{"blank after Transfer-Encoding", signed("1") + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 0},
+		{"blank in a name of an interim response", "HTTP/1.1 102 Processing\r\nX A: b\r\n\r\n" + odd("200", "X-A: b"), 0},
+		{"protocol HTTP/2.0", strings.Replace(odd("200", "X-A: b"), "HTTP/1.1", "HTTP/2.0", 1), 0},
 	}
 	for _, c := range tests {
 		eachHop(t, c.name, true, func(t *testing.T, remote bool) {
-			target := resettingTarget(t, c.answer)
+			target := hastyTarget(t, c.answer)
 			n := newPathNode(t, "other", target, nil)
 			front := n
 			if remote {
@@ -65,14 +76,14 @@
 	}
 }
 
-// odd returns an answer to request "1" with a status of its own.
-func odd(status string) string {
-	return "HTTP/1.1 " + status + " Odd\r\nX-Id: 1\r\nX-Signed: y\r\nContent-Length: 2\r\n\r\nok"
+// odd returns an answer to request "1" with a status and a header line of its own.
+func odd(status, line string) string {
+	return "HTTP/1.1 " + status + " Odd\r\nX-Id: 1\r\nX-Signed: y\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok"
 }
 
-// resettingTarget starts a target that reads the head of a request, sends answer and resets the
-// connection, and returns its address.
-func resettingTarget(t *testing.T, answer string) string {
+// hastyTarget starts a target that reads the head of a request, sends answer and closes the
+// connection, which resets it if a body is left unread, and returns its address.
+func hastyTarget(t *testing.T, answer string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -93,9 +104,6 @@
 				_, _ = io.WriteString(k, answer)
 				// The answer arrives before the reset does.
 				time.Sleep(20 * time.Millisecond)
-				if n, ok := k.(*net.TCPConn); ok {
-					_ = n.SetLinger(0)
-				}
 			}()
 		}
 	}()
