Do not cut answers that have begun when they are overdue

Cause: the timer that ends an exchange whose answer is overdue ran until the first part of the answer had been read, and whether it had fired was not looked at: the answer was passed on while the connection of its rest was being closed. The timer for the deadline had the same gap at the gate, at the entry and on the way to the home of a key.

Change: the timer is lifted once the head of the answer has been read. A cutoff is lifted or has passed, under one lock; where it has passed, an answer whose rest is still to come is closed and reported as overdue or timed out.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -222,8 +222,11 @@
 	c.abandonOverdue = c.repeatable && j.body.rest == nil && j.sends+1 < j.route.Attempts(j.service) &&
 		!e.stopping.Load() && !e.pressure.high() && e.budget.Reserve(j.service.Name, e.nodes())
 	end := e.balancer.Start(p, time.Now())
-	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
+	ctx, limit, cancel := limitUntilAnswer(j.ctx, j.deadline)
 	a, err := e.send(ctx, c, p)
+	if err == nil && !j.bounded {
+		a, err = limit.accept(ctx, a, "target "+p.Address)
+	}
 	end(outcomeOf(ctx, a, err), time.Now())
 	t.Observe(stagedOutcome(ctx, a, err))
 	if c.abandonOverdue && !classifier.Is(err, errOverdue) {
@@ -238,9 +241,6 @@
 	}
 	j.sends++
 	j.sentTo[p.Address] = true
-	if !j.bounded {
-		release()
-	}
 	return a.cancelOnClose(func() { t.Done(); cancel() }), nil
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -88,14 +88,12 @@
 	}
 }
 
-// limitUntilAnswer returns a context that ends at deadline, a function that removes
-// this deadline, and one that cancels the context.
-func limitUntilAnswer(ctx context.Context, deadline time.Time) (context.Context, func(), context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	t := time.AfterFunc(time.Until(deadline), func() { cancel(context.DeadlineExceeded) })
-	release := func() { t.Stop() }
-	return ctx, release, func() {
-		t.Stop()
+// limitUntilAnswer returns a context that ends at deadline unless the cutoff is lifted, and a
+// function that ends it.
+func limitUntilAnswer(ctx context.Context, deadline time.Time) (context.Context, *cutoff, context.CancelFunc) {
+	ctx, l, cancel := cutOff(ctx, time.Until(deadline), context.DeadlineExceeded)
+	return ctx, l, func() {
+		l.lift()
 		cancel(context.Canceled)
 	}
 }
--- a/internal/forwarder/call_test.go
+++ b/internal/forwarder/call_test.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -205,6 +207,112 @@
 	}
 }
 
+// TestAnswersThatHaveBegunAreNotOverdue guards against answers that are cut although they
+// were accepted: the timer for overdue ones fires while their first part is read.
+func TestAnswersThatHaveBegunAreNotOverdue(t *testing.T) {
+	const (
+		// usual makes an answer overdue long after the first part of the last one.
+		usual = 50 * time.Millisecond
+		pause = time.Second
+	)
+	part := strings.Repeat("x", 1<<10)
+	tests := []struct {
+		name   string
+		length int
+		// first is written at once, and rest after the answer would be overdue.
+		first, rest int
+	}{
+		{"with a length", 2 << 10, 1, 1},
+		{"without a length", -1, 1, 1},
+		{"without a length and streamed", -1, 100, 400},
+		{"with a length and streamed", 2 << 20, 1 << 10, 1 << 10},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var n atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if n.Add(1) <= 30 {
+					time.Sleep(usual)
+					return
+				}
+				if c.length >= 0 {
+					w.Header().Set("Content-Length", strconv.Itoa(c.length))
+				}
+				_, _ = io.WriteString(w, strings.Repeat(part, c.first))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(pause)
+				_, _ = io.WriteString(w, strings.Repeat(part, c.rest))
+			}))
+			defer s.Close()
+			a := s.Listener.Addr().String()
+			g := newGate(t, a)
+			for range 30 {
+				if _, err := g.do(t.Context(), newCall(a, http.MethodGet, "", false)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			k := newCall(a, http.MethodGet, "", false)
+			k.abandonOverdue = true
+			k.deadline = time.Now().Add(5 * time.Second)
+			r, err := g.do(t.Context(), k)
+			if err != nil {
+				t.Fatal(err)
+			}
+			size := len(r.held)
+			if r.rest != nil {
+				m, e := io.Copy(io.Discard, r.rest)
+				size, err = size+int(m), e
+				r.discard()
+			}
+			if want := (c.first + c.rest) << 10; size != want || err != nil {
+				t.Errorf("got %d bytes of %d, %v", size, want, err)
+			}
+		})
+	}
+}
+
+// TestCutoffs guards against a context that ends after its cutoff was lifted in time, and
+// against an answer that is accepted although its rest is cut.
+func TestCutoffs(t *testing.T) {
+	const d = time.Second
+	tests := []struct {
+		name  string
+		after time.Duration
+		// whole answers have no rest.
+		whole    bool
+		accepted bool
+	}{
+		{"in time", d - 1, false, true},
+		{"too late", d + 1, false, false},
+		{"whole in time", d - 1, true, true},
+		{"whole and too late", d + 1, true, true},
+	}
+	for _, c := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, l, cancel := limitUntilAnswer(t.Context(), time.Now().Add(d))
+			defer cancel()
+			time.Sleep(c.after)
+			a := &answer{status: http.StatusOK}
+			closed := false
+			if !c.whole {
+				a.rest = &cancelBody{ReadCloser: http.NoBody, cancel: func() { closed = true }}
+			}
+			_, err := l.accept(ctx, a, "target")
+			if (err == nil) != c.accepted || err != nil && !classifier.Is(err, classifier.TimedOut) {
+				t.Errorf("%s: got %v", c.name, err)
+			}
+			if !c.accepted && !closed {
+				t.Errorf("%s: the rest was not closed", c.name)
+			}
+			time.Sleep(2 * d)
+			if ended := ctx.Err() != nil; ended == c.accepted && !c.whole {
+				t.Errorf("%s: the context has ended: %v", c.name, ended)
+			}
+		})
+	}
+}
+
 // TestOverdueCallsAreAbandonedOnlyOnRequest has a target hang after 30 quick answers. Only
 // a call with abandonOverdue may end before its deadline.
 func TestOverdueCallsAreAbandonedOnlyOnRequest(t *testing.T) {
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -108,7 +108,7 @@
 	if !ok || t.Down {
 		return nil, classifier.Error(classifier.NotFound, classifier.NotRun, "gate: no target of %s at %s", c.service, c.target)
 	}
-	ctx, release, cancel := limitUntilAnswer(ctx, c.deadline)
+	ctx, limit, cancel := limitUntilAnswer(ctx, c.deadline)
 	k := c.ticket()
 	k.ByLoss = g.sharing.Load()
 	p, err := t.Gate.Enter(ctx, k)
@@ -118,15 +118,15 @@
 	}
 	s := &heldSlot{pass: p, usage: &g.usage, objective: k.Objective, since: time.Now()}
 	a, err := g.run(ctx, c, t)
+	if err == nil && !c.bounded {
+		a, err = limit.accept(ctx, a, "gate: target "+c.target)
+	}
 	if err != nil || a.rest == nil {
 		r := resultOf(ctx, a, err)
 		s.release(r, r)
 		cancel()
 		return a, err
 	}
-	if !c.bounded {
-		release()
-	}
 	a.rest = &slotReleasingBody{ReadCloser: a.rest, slot: s, cancel: cancel}
 	return a, nil
 }
@@ -152,9 +152,9 @@
 		return nil, quarantined()
 	}
 	n := t.Gate.Running()
-	ctx, stop := g.limitOverdue(ctx, c, t)
-	defer stop()
-	a, err := g.send(ctx, c, t)
+	ctx, overdue := g.limitOverdue(ctx, c, t)
+	defer overdue.lift()
+	a, err := g.send(ctx, c, t, overdue)
 	if err == nil {
 		g.clear(c.service, c.fingerprint)
 		return a, nil
@@ -177,14 +177,13 @@
 
 // limitOverdue returns a context that ends when the answer to c is overdue, if c is
 // abandoned in this case and enough time is left to try another target.
-func (g *Gate) limitOverdue(ctx context.Context, c call, t registrar.Target) (context.Context, func()) {
+func (g *Gate) limitOverdue(ctx context.Context, c call, t registrar.Target) (context.Context, *cutoff) {
 	d, ok := t.Gate.Overdue(c.class)
 	if !c.abandonOverdue || !ok || time.Until(c.deadline) < 2*d {
-		return ctx, func() {}
+		return ctx, nil
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	k := time.AfterFunc(d, func() { cancel(errOverdue.New("no answer after %s", d)) })
-	return ctx, func() { k.Stop() }
+	ctx, l, _ := cutOff(ctx, d, errOverdue.New("no answer after %s", d))
+	return ctx, l
 }
 
 // mayBeCrash reports whether err may be due to a crash of the target during a call.
@@ -200,8 +199,8 @@
 }
 
 // send sends c to its target. If a reused connection breaks before any byte of the
-// request was sent, it tries a second time.
-func (g *Gate) send(ctx context.Context, c call, t registrar.Target) (*answer, error) {
+// request was sent, it tries a second time. An answer that has begun is not overdue.
+func (g *Gate) send(ctx context.Context, c call, t registrar.Target, overdue *cutoff) (*answer, error) {
 	if c.attempt != "" && !g.ledger.send(c.attempt, time.Now()) {
 		return nil, classifier.Error(classifier.Interrupted, classifier.NotRun, "gate: the entry has settled the attempt")
 	}
@@ -219,6 +218,10 @@
 		q.IDOptional = !g.dialect.EchoesRequest
 		begun := g.begin(c)
 		r, err := g.client.Do(ctx, c.target, q)
+		if err == nil && !overdue.lift() {
+			_ = r.Body.Close()
+			return nil, classify(ctx, context.Cause(ctx), "gate: target "+c.target)
+		}
 		if err == nil {
 			g.observe(c, r, begun)
 			return g.checkAndRead(ctx, c, r)
--- a/internal/forwarder/keyed.go
+++ b/internal/forwarder/keyed.go
@@ -72,7 +72,7 @@
 
 // sendHome sends a request to the home node of its key and returns the answer.
 func (e *Entry) sendHome(j *job, h gossiper.Member) (*answer, error) {
-	ctx, release, cancel := limitUntilAnswer(j.ctx, j.deadline)
+	ctx, limit, cancel := limitUntilAnswer(j.ctx, j.deadline)
 	c := e.call(j, gossiper.Endpoint{Target: gossiper.Target{Service: j.service.Name}})
 	c.purpose = toHome
 	c.profile = j.profile.Name
@@ -90,11 +90,13 @@
 		return nil, err
 	}
 	a, err := e.readHome(ctx, r, h, c)
+	if err == nil {
+		a, err = limit.accept(ctx, a, "home "+h.Node)
+	}
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	release()
 	return a.cancelOnClose(cancel), nil
 }
 
