Share one check of header fields and one stand-in in the tests of exchanges

Requests that are written and responses that are read had the same loop over names and values; screener.CheckFields serves both, with the same texts.

--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -180,17 +180,7 @@
 	if !httpguts.ValidHostHeader(q.Host) {
 		return fmt.Errorf("host %q is not valid", q.Host)
 	}
-	for n, l := range q.Header {
-		if !httpguts.ValidHeaderFieldName(n) {
-			return fmt.Errorf("header name %q is not valid", n)
-		}
-		for _, v := range l {
-			if !httpguts.ValidHeaderFieldValue(v) {
-				return fmt.Errorf("header %s has the invalid value %q", n, v)
-			}
-		}
-	}
-	return nil
+	return screener.CheckFields(q.Header)
 }
 
 // appendRequestHeader appends the header of q, which check has accepted, to b.
--- a/internal/exchanger/upload_test.go
+++ b/internal/exchanger/upload_test.go
@@ -31,29 +31,15 @@
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			go func() {
-				k, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = k.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(k))
-				if err != nil {
-					return
-				}
+			address := peer(t, func(k net.Conn, r *http.Request) {
 				_, _ = io.WriteString(k, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", c.interim))
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = io.WriteString(k, okResponse("1", "x"))
-			}()
+			})
 			q := newRequest("1")
 			q.Method, q.Length = http.MethodPost, -1
 			q.Body = io.MultiReader(strings.NewReader("a"), slowReader(upload), strings.NewReader("b"))
-			r, err := New(Options{DialTimeout: time.Second, ReadTimeout: time.Second}, &meter.Traffic{}).Do(t.Context(), l.Addr().String(), q)
+			r, err := New(Options{DialTimeout: time.Second, ReadTimeout: time.Second}, &meter.Traffic{}).Do(t.Context(), address, q)
 			if err == nil {
 				_ = r.Body.Close()
 			}
@@ -93,20 +79,7 @@
 		for _, upload := range []int64{4 << 20, -1} {
 			t.Run(fmt.Sprintf("%s, upload of length %d", c.name, upload), func(t *testing.T) {
 				t.Parallel()
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer func() { _ = l.Close() }()
-				go func() {
-					k, err := l.Accept()
-					if err != nil {
-						return
-					}
-					defer func() { _ = k.Close() }()
-					if _, err := http.ReadRequest(bufio.NewReader(k)); err != nil {
-						return
-					}
+				address := peer(t, func(k net.Conn, _ *http.Request) {
 					head := "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n"
 					if c.length >= 0 {
 						head += fmt.Sprintf("Content-Length: %d\r\n", c.length)
@@ -116,13 +89,13 @@
 					if n, ok := k.(*net.TCPConn); ok {
 						c.end(n)
 					}
-				}()
+				})
 				q := newRequest("1")
 				q.Method, q.Length = http.MethodPost, upload
 				q.Body = io.LimitReader(zeros{}, 4<<20)
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
-				r, err := newTestClient(time.Second).Do(ctx, l.Addr().String(), q)
+				r, err := newTestClient(time.Second).Do(ctx, address, q)
 				var n int64
 				if err == nil {
 					n, err = io.Copy(io.Discard, r.Body)
@@ -179,6 +152,24 @@
 // stoppingPeer starts a peer that reads no body. It responds first, or sends interim
 // responses, and returns its address.
 func stoppingPeer(t *testing.T, interim, responds bool) string {
+	t.Helper()
+	return peer(t, func(k net.Conn, _ *http.Request) {
+		if responds {
+			_, _ = io.WriteString(k, okResponse("1", "x"))
+		}
+		var err error
+		for end := time.Now().Add(2*writeTimeout + time.Second); err == nil && time.Now().Before(end); {
+			time.Sleep(100 * time.Millisecond)
+			if interim && !responds {
+				_, err = io.WriteString(k, "HTTP/1.1 102 Processing\r\n\r\n")
+			}
+		}
+	})
+}
+
+// peer starts a peer that calls f with its first connection once it has read the head of a
+// request there, and returns its address.
+func peer(t *testing.T, f func(k net.Conn, r *http.Request)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -191,17 +182,8 @@
 			return
 		}
 		defer func() { _ = k.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(k)); err != nil {
-			return
-		}
-		if responds {
-			_, _ = io.WriteString(k, okResponse("1", "x"))
-		}
-		for end := time.Now().Add(2*writeTimeout + time.Second); err == nil && time.Now().Before(end); {
-			time.Sleep(100 * time.Millisecond)
-			if interim && !responds {
-				_, err = io.WriteString(k, "HTTP/1.1 102 Processing\r\n\r\n")
-			}
+		if r, err := http.ReadRequest(bufio.NewReader(k)); err == nil {
+			f(k, r)
 		}
 	}()
 	return l.Addr().String()
--- a/internal/forwarder/malformed_test.go
+++ b/internal/forwarder/malformed_test.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -45,7 +44,13 @@
 	}
 	for _, c := range tests {
 		eachHop(t, c.name, true, func(t *testing.T, remote bool) {
-			target := hastyTarget(t, c.answer)
+			target := rawTarget(t, func(k net.Conn, _ string) {
+				_, _ = io.WriteString(k, c.answer)
+				// The answer arrives before the end of the connection, which is a reset if a
+				// part of the request's body is unread.
+				time.Sleep(20 * time.Millisecond)
+				_ = k.Close()
+			})
 			n := newPathNode(t, "other", target, nil)
 			front := n
 			if remote {
@@ -80,32 +85,3 @@
 func odd(status, line string) string {
 	return "HTTP/1.1 " + status + " Odd\r\nX-Id: 1\r\nX-Signed: y\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok"
 }
-
-// hastyTarget starts a target that reads the head of a request, sends answer and closes the
-// connection, which resets it if a body is left unread, and returns its address.
-func hastyTarget(t *testing.T, answer string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			k, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = k.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(k)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(k, answer)
-				// The answer arrives before the reset does.
-				time.Sleep(20 * time.Millisecond)
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -1,5 +1,5 @@
-// Package screener rejects heads of HTTP responses that net/http accepts although they are
-// malformed: they would be passed on, or delimit the body at another place than the peer
+// Package screener rejects malformed heads of HTTP messages. net/http accepts some in
+// responses: they would be passed on, or delimit the body at another place than the peer
 // meant.
 package screener
 
@@ -28,7 +28,13 @@
 	if r.StatusCode == http.StatusSwitchingProtocols {
 		return fmt.Errorf("status %q answers no request to upgrade", r.Status)
 	}
-	for n, l := range r.Header {
+	return CheckFields(r.Header)
+}
+
+// CheckFields returns an error if a name or a value in h would change the meaning of the head
+// that it is written to, or was read from one whose meaning is not certain.
+func CheckFields(h http.Header) error {
+	for n, l := range h {
 		if !httpguts.ValidHeaderFieldName(n) {
 			return fmt.Errorf("header name %q is not valid", n)
 		}
