--- a/internal/forwarder/malformed_test.go
+++ b/internal/forwarder/malformed_test.go
@@ -13,7 +13,8 @@
 )
 
 // TestMalformedAnswersReachNoCaller guards against what is no whole answer of a target and
-// reaches the caller as one, from the target beside the node or by way of another node.
+// reaches the caller as one, from the target beside the node or by way of another node, at once
+// or as the answer that is kept for the repeats of a key.
 func TestMalformedAnswersReachNoCaller(t *testing.T) {
 	const upload = 4 << 20
 	tests := []struct {
@@ -58,29 +59,45 @@
 			}
 			v := gossiper.NewView([]gossiper.Member{n.member})
 			front.entry.view = func() *gossiper.View { return v }
-			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+receive(t, front.entry)+"/x", bytes.NewReader(make([]byte, c.body)))
-			if err != nil {
-				t.Fatal(err)
-			}
-			q.Header.Set("X-Id", "1")
-			client := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
-			defer client.CloseIdleConnections()
-			r, err := client.Do(q)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = r.Body.Close() }()
-			b, err := io.ReadAll(r.Body)
-			if s := r.Header.Get("X-Signed"); r.StatusCode != http.StatusBadGateway || s != "" {
-				t.Errorf("the caller got %d with %d bytes, signature %q, %v", r.StatusCode, len(b), s, err)
-			}
-			if s := r.Header.Get("X-Verdict"); s != "may_have_run" {
-				t.Errorf("the verdict is %q", s)
+			address := receive(t, front.entry)
+			checkBadGateway(t, address, "", c.body)
+			if !remote {
+				// The other node is the home of no key here.
+				checkBadGateway(t, address, "k", c.body)
+				checkBadGateway(t, address, "k", c.body)
 			}
 		})
 	}
 }
 
+// checkBadGateway sends request "1" with an idempotency key, unless it is empty, and checks
+// that the answer is one of the entry's own and promises nothing.
+func checkBadGateway(t *testing.T, address, key string, body int) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/x", bytes.NewReader(make([]byte, body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("X-Id", "1")
+	if key != "" {
+		q.Header.Set("X-Key", key)
+	}
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	r, err := client.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if s := r.Header.Get("X-Signed"); r.StatusCode != http.StatusBadGateway || s != "" {
+		t.Errorf("key %q: the caller got %d with %d bytes, signature %q, %v", key, r.StatusCode, len(b), s, err)
+	}
+	if s := r.Header.Get("X-Verdict"); s != "may_have_run" {
+		t.Errorf("key %q: the verdict is %q", key, s)
+	}
+}
+
 // odd returns an answer to request "1" with a status and a header line of its own.
 func odd(status, line string) string {
 	return "HTTP/1.1 " + status + " Odd\r\nX-Id: 1\r\nX-Signed: y\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok"
