--- /dev/null
+++ b/review/harness-3/main.go
@@ -0,0 +1,49 @@
+//go:build review
+
+// Command review-3 plays the cases of the third review that are scripts:
+// review-3 CASE RECORD. With TROUBLE=0 in the environment it leaves out the disruption.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"time"
+)
+
+// result is the exit code of a case.
+type result int
+
+const (
+	held result = iota
+	broken
+	notRun
+)
+
+var cases = map[string]func(rec *record, trouble bool) (result, error){
+	"slow-readers": slowReaders,
+	"second-stop":  secondStop,
+	"left-server":  leftServer,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
+		os.Exit(int(notRun))
+	}
+	f, err := os.Create(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(int(notRun))
+	}
+	rec := &record{file: bufio.NewWriter(f), begun: time.Now()}
+	r, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		rec.add("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		r = notRun
+	}
+	rec.add("result: %d", r)
+	rec.flush()
+	os.Exit(int(r))
+}
