--- a/review/harness-3/main.go
+++ b/review/harness-3/main_test.go
@@ -1,13 +1,12 @@
-//go:build review
-
-// Command review-3 plays the cases of the third review that are scripts:
-// review-3 CASE RECORD. With TROUBLE=0 in the environment it leaves out the disruption.
+// Package main plays the cases of the third review that are scripts: review-3 CASE RECORD.
+// With TROUBLE=0 in the environment it leaves out the disruption.
 package main
 
 import (
 	"bufio"
 	"fmt"
 	"os"
+	"testing"
 	"time"
 )
 
@@ -24,9 +23,11 @@
 	"slow-readers": slowReaders,
 	"second-stop":  secondStop,
 	"left-server":  leftServer,
+	"older-copy":   olderCopy,
 }
 
-func main() {
+// TestMain runs the case that the arguments name in place of tests.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
 		os.Exit(int(notRun))
--- a/review/harness-3/slow_readers.go
+++ b/review/harness-3/slow_readers_test.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
--- a/review/harness-3/store.go
+++ b/review/harness-3/store_test.go
@@ -1,11 +1,11 @@
-//go:build review
-
 package main
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -44,6 +44,8 @@
 
 	// down makes the store close every connection without an answer.
 	down atomic.Bool
+	// away is held while the store is away for a moment: calls wait for it.
+	away sync.RWMutex
 
 	mu      sync.Mutex
 	rev     uint64
@@ -78,6 +80,7 @@
 		if s.down.Load() {
 			panic(http.ErrAbortHandler)
 		}
+		s.await()
 		m.ServeHTTP(w, r)
 	})
 	s.server = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
@@ -95,6 +98,31 @@
 	s.changed = make(chan struct{})
 }
 
+// await waits until the store is no longer away.
+func (s *store) await() {
+	s.away.RLock()
+	defer s.away.RUnlock()
+}
+
+// copy returns a copy of the store.
+func (s *store) copy() snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rec.add("a copy of the store is made at revision %d", s.rev)
+	return snapshot{s.rev, maps.Clone(s.items), maps.Clone(s.leases)}
+}
+
+// restore makes the store go back to a copy. Watches that wait are checked anew once the
+// store is back: one from a revision that the store doesn't have then gets 410.
+func (s *store) restore(c snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rec.add("the store goes back from revision %d to a copy at revision %d", s.rev, c.rev)
+	s.rev, s.items, s.leases = c.rev, maps.Clone(c.items), maps.Clone(c.leases)
+	s.events = slices.DeleteFunc(s.events, func(e item) bool { return e.Rev > c.rev })
+	s.era++
+}
+
 // answer sends v with a status. mu is not held.
 func (s *store) answer(w http.ResponseWriter, status int, v any) {
 	s.mu.Lock()
@@ -196,6 +224,7 @@
 	t := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer t.Stop()
 	for {
+		s.await()
 		s.mu.Lock()
 		s.expire()
 		if s.down.Load() {
