--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 d=$(cd "$(dirname "$0")" && pwd)
 cd "$d/../.." && [ -x target/review-3 ] && [ -x target/dragonflydoor ] || exit 2
-exec target/review-3 second-stop "$d/record.txt"
+exec target/review-3 lost-record "$d/record.txt"
--- a/review/harness-3/main_test.go
+++ b/review/harness-3/main_test.go
@@ -24,6 +24,7 @@
 	"second-stop":  secondStop,
 	"left-server":  leftServer,
 	"older-copy":   olderCopy,
+	"lost-record":  lostRecord,
 }
 
 // TestMain runs the case that the arguments name in place of tests.
